testutils: know the end of a process's output before its exit is told

Cause: the thread that reads a pipe may still be reading when the exit is known, so unknown_setting once missed its error message beside load. Change: wait_for_exit waits for the readers, bounded by the same patience.

--- a/crates/testutils/src/process/process_output.rs
+++ b/crates/testutils/src/process/process_output.rs
@@ -32,6 +32,8 @@
 struct Heard {
     lines: VecDeque<String>,
     listening: Option<Value>,
+    /// Pipes that are still being read.
+    open: usize,
 }
 
 impl ProcessOutput {
@@ -41,6 +43,7 @@
         R: Read + Send + 'static,
     {
         let output = Arc::clone(self);
+        output.heard().open += 1;
         thread::spawn(move || {
             for line in BufReader::new(pipe).split(b'\n').map_while(Result::ok) {
                 let line = String::from_utf8_lossy(&line).into_owned();
@@ -50,9 +53,31 @@
                 }
                 output.note(line);
             }
+            output.heard().open -= 1;
+            output.changed.notify_all();
         });
     }
 
+    /// Waits until every pipe has been read to its end; tells whether that came within `patience`.
+    ///
+    /// A process can be gone while its last lines still lie in the pipe: a test that looked for an
+    /// error message right after the exit would miss it now and then.
+    pub fn wait_for_end(&self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        let mut heard = self.heard();
+        while heard.open > 0 {
+            let Some(left) = until.checked_duration_since(Instant::now()) else {
+                return false;
+            };
+            heard = self
+                .changed
+                .wait_timeout(heard, left)
+                .unwrap_or_else(PoisonError::into_inner)
+                .0;
+        }
+        true
+    }
+
     fn note(&self, line: String) {
         let mut heard = self.heard();
         if heard.listening.is_none() && line.contains("listening") {
--- a/crates/testutils/src/process/running_process.rs
+++ b/crates/testutils/src/process/running_process.rs
@@ -156,9 +156,16 @@
         let until = Instant::now() + patience;
         loop {
             let status = self.child.try_wait().map_err(ProcessError::NotSignalled)?;
-            if status.is_some() || Instant::now() >= until {
+            if status.is_some() {
+                // A child of the process could hold its pipes open, so the end of the output is
+                // waited for only as long as the exit.
+                self.output
+                    .wait_for_end(until.saturating_duration_since(Instant::now()));
                 return Ok(status);
             }
+            if Instant::now() >= until {
+                return Ok(None);
+            }
             std::thread::sleep(POLL);
         }
     }
