--- /dev/null
+++ b/crates/mesh/src/model/host_settings.rs
@@ -0,0 +1,38 @@
+//! What a node learns from its settings file.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::ids::ZoneName;
+
+use super::ListenAddresses;
+use super::TimeBounds;
+
+/// Describes the host and what the platform asks of a node on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostSettings {
+    /// The node's name, which outlives its process.
+    pub node: NodeName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// The host's address.
+    pub ip: IpAddr,
+    /// The service of the host's backend server.
+    pub service: ServiceName,
+    /// Where the host's backend server listens; nobody but this node reaches it.
+    pub server: SocketAddr,
+    /// Where the node listens.
+    pub listen: ListenAddresses,
+    /// The ports on which nodes may talk to each other.
+    pub peer_ports: RangeInclusive<u16>,
+    /// Where the metadata store listens.
+    pub store: SocketAddr,
+    /// How often the backend server sends its heartbeat.
+    pub heartbeat: Duration,
+    /// The bounds within which the platform wants things done.
+    pub bounds: TimeBounds,
+}
--- /dev/null
+++ b/crates/mesh/src/model/server_id.rs
@@ -0,0 +1,43 @@
+//! Identities of backend servers.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Names a backend server. It may start again under the same id.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct ServerId(pub Arc<str>);
+
+/// Names one life of a backend server: a later life holds and knows nothing of an earlier one.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct ServerLife {
+    /// The server.
+    pub id: ServerId,
+    /// When it started, in Unix milliseconds on its own clock.
+    pub born: u64,
+}
+
+impl fmt::Display for ServerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for ServerId {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.into()))
+    }
+}
+
+impl fmt::Display for ServerLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.id, self.born)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/action.rs
@@ -0,0 +1,32 @@
+//! What a node's control asks for.
+
+use std::net::SocketAddr;
+
+use super::HeartbeatAnswer;
+use super::LeaderRecord;
+use super::Note;
+use super::PeerMessage;
+
+/// Is one output of [`super::NodeMachine`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a datagram.
+    Send(SocketAddr, PeerMessage),
+    /// Read the newest record of the leader's topic.
+    ReadLeader,
+    /// Append to the leader's topic, if it still ends there.
+    WriteLeader {
+        /// Where the topic must end.
+        end: u64,
+        /// The record.
+        record: LeaderRecord,
+    },
+    /// Answer the backend server's heartbeat.
+    Answer(HeartbeatAnswer),
+    /// The directory or the lease has changed.
+    Publish,
+    /// Ask a node for the operators' intent, since it has read further.
+    FetchIntent(SocketAddr),
+    /// Write a line into the log: what is believed from now on, and the inputs.
+    Note(Note),
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/election/search.rs
@@ -0,0 +1,152 @@
+//! The search of a node that hears no leader.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::time::Moment;
+
+use crate::ownership::Epoch;
+use crate::ownership::LeaderRecord;
+use crate::ownership::LeaseTimes;
+
+/// How long answers of other nodes count.
+const FRESH: Duration = Duration::from_millis(1_000);
+/// The time from one read of the leader's topic to the next while no leader is heard.
+const READ_PAUSE: Duration = Duration::from_millis(400);
+/// The most by which nodes that look for a leader at the same time are spread; the first to claim
+/// spares the others a refused call.
+const SPREAD: Duration = Duration::from_millis(250);
+/// How many refreshes a leader may miss until it counts as lost although no peer says so.
+const MISSED_REFRESHES: u32 = 2;
+
+/// Says what a search wants next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(in crate::ownership) enum Verdict {
+    /// Nothing for now.
+    Wait,
+    /// Read the newest record.
+    Read,
+    /// Claim the next epoch, if the topic still ends there.
+    Claim {
+        /// Where the topic ends.
+        end: u64,
+        /// The record to succeed.
+        last: Option<LeaderRecord>,
+    },
+}
+
+/// Decides whether the leader is lost, or only out of this node's reach.
+///
+/// Were a node that is cut off from all others to claim, it would take the leadership from a
+/// leader whom everyone else hears, and again after each heal. So a node claims only when a
+/// majority of the voters say that they don't hear the leader either; or when the leader has not
+/// refreshed its record for long, since that majority may be gone for good.
+#[derive(Clone, Debug, Default)]
+pub(in crate::ownership) struct Search {
+    known: Option<Known>,
+    read_at: Option<Moment>,
+    reading: bool,
+    claim_after: Option<Moment>,
+    deaf: BTreeMap<NodeName, (Epoch, Moment)>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    record: Option<LeaderRecord>,
+    end: u64,
+    /// When this record was first seen as the newest.
+    since: Moment,
+    /// When it was last seen as the newest.
+    seen: Moment,
+}
+
+impl Search {
+    /// Ends the search.
+    pub(in crate::ownership) fn stop(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Learns the newest record.
+    pub(in crate::ownership) fn learn(&mut self, now: Moment, record: Option<LeaderRecord>, end: u64) {
+        self.reading = false;
+        let since = match &self.known {
+            Some(known) if known.end == end => known.since,
+            _ => now,
+        };
+        self.known = Some(Known {
+            record,
+            end,
+            since,
+            seen: now,
+        });
+    }
+
+    /// Learns that the store did not answer.
+    pub(in crate::ownership) fn failed(&mut self) {
+        self.reading = false;
+    }
+
+    /// Learns whether another node hears the leader of an epoch.
+    pub(in crate::ownership) fn hear(&mut self, now: Moment, node: NodeName, epoch: Epoch, hears: bool) {
+        match hears {
+            true => self.deaf.remove(&node),
+            false => self.deaf.insert(node, (epoch, now)),
+        };
+    }
+
+    /// Says what to do; `roll` is a random share of one that spreads equal nodes.
+    pub(in crate::ownership) fn step(
+        &mut self,
+        now: Moment,
+        me: &NodeName,
+        times: &LeaseTimes,
+        roll: f64,
+    ) -> Verdict {
+        let fresh = self.known.as_ref().is_some_and(|known| now.since(known.seen) < READ_PAUSE);
+        if !fresh {
+            let due = self.read_at.is_none_or(|at| now.since(at) >= READ_PAUSE);
+            if self.reading || !due {
+                return Verdict::Wait;
+            }
+            self.read_at = Some(now);
+            self.reading = true;
+            return Verdict::Read;
+        }
+        let Some(known) = &self.known else {
+            return Verdict::Wait;
+        };
+        if !self.is_lost(now, known, me, times) {
+            self.claim_after = None;
+            return Verdict::Wait;
+        }
+        let after = *self.claim_after.get_or_insert(now + SPREAD.mul_f64(roll));
+        if now < after {
+            return Verdict::Wait;
+        }
+        Verdict::Claim {
+            end: known.end,
+            last: known.record.clone(),
+        }
+    }
+
+    fn is_lost(&self, now: Moment, known: &Known, me: &NodeName, times: &LeaseTimes) -> bool {
+        let Some(record) = &known.record else {
+            return true;
+        };
+        if record.leader.node == *me || record.voters.is_empty() {
+            return true;
+        }
+        if now.since(known.since) >= times.refresh * MISSED_REFRESHES {
+            return true;
+        }
+        let deaf = record.voters.iter().filter(|voter| {
+            let said = self.deaf.get(&voter.node);
+            let said = said.is_some_and(|(epoch, at)| {
+                *epoch >= record.epoch && now.since(*at) < FRESH
+            });
+            voter.node == *me || said
+        });
+        deaf.count() >= record.majority()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -0,0 +1,237 @@
+//! What a node knows of the backend server beside it.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+use super::HeartbeatAnswer;
+use super::Lease;
+use crate::model::FreedRange;
+use crate::model::HeldRange;
+use crate::model::Renewal;
+use crate::model::ServerHeartbeat;
+use crate::model::ServerId;
+use crate::model::ServerLife;
+use crate::ownership::LeaseTimes;
+
+/// How many heartbeats of a life a node must have heard until it knows what the server holds: an
+/// answer of the node's own earlier life may still have been on its way when the first was sent.
+const SETTLED_BEATS: u32 = 2;
+/// The shortest lease that is worth granting.
+const SHORTEST: Duration = Duration::from_millis(100);
+/// How long a released range is told to the leader; beats are lost now and then.
+const FREED_KEPT: Duration = Duration::from_secs(3);
+/// How many lives that left are remembered, against heartbeats that come after them.
+const LEFT_KEPT: usize = 8;
+/// How long a life must be silent until another with an earlier birth counts as its successor: the
+/// time of day may have been set back between the two.
+const REPLACED: Duration = Duration::from_millis(2_500);
+
+/// Follows the lives of the host's backend server, what it was granted, and what it still holds.
+#[derive(Clone, Debug, Default)]
+pub(in crate::ownership) struct ServerWatch {
+    current: Option<Current>,
+    left: Vec<ServerLife>,
+}
+
+#[derive(Clone, Debug)]
+struct Current {
+    newest: ServerHeartbeat,
+    heard: u32,
+    at: Moment,
+    cold_until: Moment,
+    offers: Vec<Offer>,
+    /// What it listed before we ever granted anything, and until when a grant of our own earlier
+    /// life may be the reason.
+    inherited_until: Moment,
+    freed: Vec<(Moment, FreedRange)>,
+}
+
+/// Is a range that an answer of ours granted.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    held: HeldRange,
+    /// The heartbeat that was answered.
+    sequence: u64,
+    until: Moment,
+    /// Whether the newest renewal granted it too; if not, the server is to release it.
+    wanted: bool,
+}
+
+impl ServerWatch {
+    /// Takes a heartbeat and says what to answer.
+    pub(in crate::ownership) fn hear(
+        &mut self,
+        now: Moment,
+        heartbeat: ServerHeartbeat,
+        lease: Option<&Lease>,
+        times: &LeaseTimes,
+    ) -> HeartbeatAnswer {
+        if self.left.contains(&heartbeat.life) || self.is_stale(now, &heartbeat) {
+            return HeartbeatAnswer::Heard;
+        }
+        self.note(now, heartbeat, times);
+        self.renew(now, lease)
+    }
+
+    /// Forgets the server: it leaves, and a heartbeat of this life that still comes changes nothing.
+    pub(in crate::ownership) fn leaves(&mut self, id: &ServerId) {
+        let life = self.life().filter(|life| life.id == *id).cloned();
+        if let Some(life) = life {
+            if self.left.len() == LEFT_KEPT {
+                self.left.remove(0);
+            }
+            self.left.push(life);
+        }
+    }
+
+    /// Returns the life that was heard last.
+    pub(in crate::ownership) fn life(&self) -> Option<&ServerLife> {
+        self.current.as_ref().map(|current| &current.newest.life)
+    }
+
+    /// Tells whether that life has left.
+    pub(in crate::ownership) fn has_left(&self) -> bool {
+        self.life().is_some_and(|life| self.left.contains(life))
+    }
+
+    /// Returns the newest heartbeat.
+    pub(in crate::ownership) fn newest(&self) -> Option<&ServerHeartbeat> {
+        self.current.as_ref().map(|current| &current.newest)
+    }
+
+    /// Returns until when the server said that it is cold.
+    pub(in crate::ownership) fn cold_until(&self) -> Moment {
+        self.current.as_ref().map_or(Moment::default(), |current| current.cold_until)
+    }
+
+    /// Returns when the server was heard last.
+    pub(in crate::ownership) fn heard_at(&self) -> Option<Moment> {
+        self.current.as_ref().map(|current| current.at)
+    }
+
+    /// Tells whether what the server holds is known.
+    pub(in crate::ownership) fn is_settled(&self) -> bool {
+        self.current.as_ref().is_some_and(|current| current.heard >= SETTLED_BEATS)
+    }
+
+    /// Returns everything that the server may hold now.
+    pub(in crate::ownership) fn holding(&self, now: Moment) -> Vec<HeldRange> {
+        let Some(current) = &self.current else {
+            return Vec::new();
+        };
+        let mut holding: Vec<HeldRange> = current.live_offers(now).map(|offer| offer.held).collect();
+        if now < current.inherited_until {
+            holding.extend(&current.newest.holds);
+        }
+        holding.sort_unstable();
+        holding.dedup();
+        holding
+    }
+
+    /// Returns the ranges that the server serves now, each with the end of its grant.
+    pub(in crate::ownership) fn serving(&self, now: Moment) -> Vec<(HeldRange, Moment)> {
+        let Some(current) = &self.current else {
+            return Vec::new();
+        };
+        let wanted = current.live_offers(now).filter(|offer| offer.wanted);
+        wanted.map(|offer| (offer.held, offer.until)).collect()
+    }
+
+    /// Returns what the server has released lately.
+    pub(in crate::ownership) fn freed(&self, now: Moment) -> Vec<FreedRange> {
+        let Some(current) = &self.current else {
+            return Vec::new();
+        };
+        let recent = current.freed.iter().filter(|(at, _)| now.since(*at) < FREED_KEPT);
+        recent.map(|(_, freed)| freed.clone()).collect()
+    }
+
+    fn is_stale(&self, now: Moment, heartbeat: &ServerHeartbeat) -> bool {
+        let Some(current) = &self.current else {
+            return false;
+        };
+        let newest = &current.newest;
+        if newest.life == heartbeat.life {
+            return heartbeat.sequence <= newest.sequence;
+        }
+        heartbeat.life.born < newest.life.born && now.since(current.at) < REPLACED
+    }
+
+    fn note(&mut self, now: Moment, heartbeat: ServerHeartbeat, times: &LeaseTimes) {
+        let current = match &mut self.current {
+            Some(current) if current.newest.life == heartbeat.life => current,
+            // Another life holds nothing of what the one before it was granted.
+            slot => slot.insert(Current {
+                newest: heartbeat.clone(),
+                heard: 0,
+                at: now,
+                cold_until: now,
+                offers: Vec::new(),
+                inherited_until: now + LeaseTimes::waited(times.lease),
+                freed: Vec::new(),
+            }),
+        };
+        current.heard += 1;
+        current.at = now;
+        current.cold_until = now + heartbeat.cold;
+        current.freed.retain(|(at, _)| now.since(*at) < FREED_KEPT);
+        current.freed.extend(heartbeat.freed.iter().map(|freed| (now, freed.clone())));
+        // A range of an earlier answer that this heartbeat does not list was released, or never
+        // taken; the answer to come is the only one that can still grant it.
+        current.offers = std::mem::take(&mut current.offers)
+            .into_iter()
+            .flat_map(|offer| offer.still_held(&heartbeat))
+            .collect();
+        current.newest = heartbeat;
+    }
+
+    fn renew(&mut self, now: Moment, lease: Option<&Lease>) -> HeartbeatAnswer {
+        let Some(current) = &mut self.current else {
+            return HeartbeatAnswer::Heard;
+        };
+        let valid = lease.filter(|lease| lease.assignment.server == current.newest.life);
+        let Some(lease) = valid.filter(|lease| lease.until.since(now) >= SHORTEST) else {
+            return HeartbeatAnswer::Heard;
+        };
+        let time = LeaseTimes::given(lease.until.since(now));
+        let sequence = current.newest.sequence;
+        for offer in &mut current.offers {
+            offer.wanted = false;
+        }
+        for range in &lease.assignment.ranges {
+            current.offers.retain(|offer| offer.held != range.held);
+            current.offers.push(Offer {
+                held: range.held,
+                sequence,
+                until: lease.until,
+                wanted: true,
+            });
+        }
+        HeartbeatAnswer::Renewed(Renewal {
+            ranges: lease.assignment.ranges.clone(),
+            time,
+        })
+    }
+}
+
+impl Offer {
+    /// Returns what is left of the offer after a heartbeat that was sent later.
+    fn still_held(self, heartbeat: &ServerHeartbeat) -> Vec<Self> {
+        if self.sequence >= heartbeat.sequence {
+            return vec![self];
+        }
+        let listed = heartbeat.holds.iter().filter_map(|held| {
+            let keys = held.keys.common(&self.held.keys)?;
+            let held = HeldRange { keys, ..*held };
+            Some(Self { held, ..self })
+        });
+        listed.collect()
+    }
+}
+
+impl Current {
+    fn live_offers(&self, now: Moment) -> impl Iterator<Item = &Offer> {
+        self.offers.iter().filter(move |offer| now < offer.until)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -0,0 +1,350 @@
+//! The leader's state and its reaction to beats and time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::time::Moment;
+
+use super::authority::Authority;
+use super::ledger::Ledger;
+use super::moves::MoveClock;
+use super::peer::Peer;
+use super::publishing::Tables;
+use super::record_keeping::RecordKeeper;
+use super::row::Freedom;
+use super::row::RowState;
+use super::takeover::Takeover;
+use crate::model::FencingToken;
+use crate::model::GrantedRange;
+use crate::model::HeldRange;
+use crate::model::OperatorsIntent;
+use crate::ownership::Action;
+use crate::ownership::Assignment;
+use crate::ownership::Beat;
+use crate::ownership::Directory;
+use crate::ownership::LeaderRecord;
+use crate::ownership::LeaseTimes;
+use crate::ownership::Member;
+use crate::ownership::NodeLife;
+use crate::ownership::Order;
+use crate::ownership::PeerMessage;
+
+/// The nodes that the leader knows.
+pub(in crate::ownership) type Peers = BTreeMap<NodeName, Peer>;
+
+/// Is one term of leadership; a new one starts empty.
+#[derive(Clone, Debug)]
+pub(in crate::ownership) struct Leader {
+    pub(super) me: NodeLife,
+    pub(super) times: LeaseTimes,
+    pub(super) record: LeaderRecord,
+    pub(super) authority: Authority,
+    /// Gone once all keys are accounted for.
+    pub(super) takeover: Option<Takeover>,
+    pub(super) keeper: RecordKeeper,
+    pub(super) peers: Peers,
+    pub(super) ledgers: BTreeMap<ServiceName, Ledger>,
+    pub(super) clocks: BTreeMap<ServiceName, MoveClock>,
+    pub(super) fence: FencingToken,
+    pub(super) tables: Tables,
+    pub(super) intent: OperatorsIntent,
+}
+
+/// Is what a node knows when its claim has succeeded.
+#[derive(Clone, Debug)]
+pub(in crate::ownership) struct LeaderStart {
+    /// The record that now stands in the store.
+    pub(in crate::ownership) record: LeaderRecord,
+    /// The one before it.
+    pub(in crate::ownership) last: Option<LeaderRecord>,
+    /// Where the topic ends with it.
+    pub(in crate::ownership) end: u64,
+    /// When the claim was sent.
+    pub(in crate::ownership) sent: Moment,
+}
+
+impl Leader {
+    pub(in crate::ownership) fn new(
+        now: Moment,
+        start: LeaderStart,
+        directory: &Directory,
+        intent: OperatorsIntent,
+        times: LeaseTimes,
+    ) -> Self {
+        let epoch = start.record.epoch;
+        let mut tables = Tables::default();
+        let known = directory.members.values().map(|entry| {
+            let changed = tables.next_version();
+            let peer = Peer::from_table(now, entry.member.clone(), changed);
+            (entry.member.life.node.clone(), peer)
+        });
+        let peers = known.collect();
+        Self {
+            me: start.record.leader.clone(),
+            times,
+            authority: Authority::new(start.sent),
+            takeover: Some(Takeover::new(now, start.last)),
+            keeper: RecordKeeper::new(now, start.end),
+            record: start.record,
+            peers,
+            ledgers: BTreeMap::new(),
+            clocks: BTreeMap::new(),
+            fence: FencingToken::first_of(epoch.0),
+            tables,
+            intent,
+        }
+    }
+
+    /// Tells whether the leader may not act any more; it never may again in this epoch.
+    pub(in crate::ownership) fn has_lapsed(&self, now: Moment) -> bool {
+        self.authority.left(now, &self.times).is_zero()
+    }
+
+    /// Tells whether all keys are accounted for.
+    pub(in crate::ownership) fn is_complete(&self) -> bool {
+        self.takeover.is_none()
+    }
+
+    pub(in crate::ownership) fn record(&self) -> &LeaderRecord {
+        &self.record
+    }
+
+    pub(in crate::ownership) fn set_intent(&mut self, intent: OperatorsIntent) {
+        self.intent = intent;
+    }
+
+    /// Takes one beat and answers it.
+    pub(in crate::ownership) fn hear(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        beat: &Beat,
+        actions: &mut Vec<Action>,
+    ) {
+        let node = beat.member.life.node.clone();
+        let late = self.peers.get(&node).is_some_and(|peer| {
+            peer.member.life == beat.member.life && beat.sequence <= peer.sequence
+        });
+        if beat.epoch != self.record.epoch || late {
+            return;
+        }
+        self.note_beat(now, &node, beat);
+        self.update_authority(now);
+        self.settle_rows(now, &node, beat);
+        self.account(now);
+        self.place(now);
+        self.lapse(now);
+        let lease = self.authority.left(now, &self.times);
+        if lease.is_zero() {
+            return;
+        }
+        let assignment = self.assignment(&node);
+        if assignment.is_some() {
+            self.extend(now, &node);
+        }
+        let order = Order {
+            epoch: self.record.epoch,
+            leader: self.me.clone(),
+            sequence: beat.sequence,
+            stamp: now.0,
+            lease: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
+            assignment,
+            update: self.update_for(beat.table, beat.owners),
+            intent: self.intent.offset,
+        };
+        if beat.intent > self.intent.offset {
+            actions.push(Action::FetchIntent(beat.member.traffic));
+        }
+        actions.push(Action::Send(from, PeerMessage::Order(Box::new(order))));
+    }
+
+    /// Does what time asks for.
+    pub(in crate::ownership) fn tick(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        self.update_authority(now);
+        self.lapse(now);
+        self.account(now);
+        self.place(now);
+        self.note_silence(now);
+        self.keep_record(now, actions);
+        self.call_silent(now, actions);
+    }
+
+    fn note_beat(&mut self, now: Moment, node: &NodeName, beat: &Beat) {
+        let peer = self.peers.entry(node.clone()).or_insert_with(|| {
+            let mut peer = Peer::from_table(now, beat.member.clone(), 0);
+            peer.told_heard = false;
+            peer
+        });
+        if peer.hear(now, beat) {
+            peer.changed = self.tables.next_version();
+        }
+    }
+
+    fn update_authority(&mut self, now: Moment) {
+        if let Some(takeover) = &mut self.takeover {
+            takeover.note_majority(now, &self.peers, &self.times);
+        }
+        let stamp = self.keeper.majority_stamp(&self.record, &self.peers);
+        self.authority.confirm_by_majority(stamp);
+    }
+
+    /// Follows what a node's server has released, and what ended with an earlier life of it.
+    fn settle_rows(&mut self, now: Moment, node: &NodeName, beat: &Beat) {
+        let Some(ledger) = self.ledgers.get_mut(&beat.member.service) else {
+            return;
+        };
+        let server = beat.member.server.as_ref();
+        for row in ledger.rows_mut() {
+            let Some(tenure) = row.state.tenure().filter(|tenure| tenure.node == *node) else {
+                continue;
+            };
+            let held = beat.holding.iter().any(|held| held.keys.common(&row.keys).is_some());
+            let reborn = server.is_some_and(|server| server.life != tenure.server);
+            match &row.state {
+                // One host runs one life of its server, so the earlier one is gone.
+                _ if reborn => row.state = RowState::free(),
+                RowState::Held(tenure) if server.is_none_or(|server| server.silent) => {
+                    row.state = RowState::Leaving {
+                        tenure: tenure.clone(),
+                        since: now.0,
+                    };
+                }
+                RowState::Leaving { since, .. } => {
+                    let applied = beat.order.is_some_and(|stamp| stamp >= *since);
+                    if applied && !held {
+                        let freed = beat.freed.iter().rev();
+                        let mut freed = freed.filter(|freed| freed.keys.common(&row.keys) == Some(row.keys));
+                        row.state = RowState::Free(Freedom {
+                            lapsed: None,
+                            handover: freed.next().map(|freed| freed.handover.clone()),
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends what was not renewed in time.
+    fn lapse(&mut self, now: Moment) {
+        for ledger in self.ledgers.values_mut() {
+            for row in ledger.rows_mut() {
+                let Some(until) = row.state.tenure().map(|tenure| tenure.until) else {
+                    continue;
+                };
+                if now > until {
+                    row.state = RowState::Free(Freedom {
+                        lapsed: Some(now),
+                        handover: None,
+                    });
+                }
+            }
+            ledger.merge();
+        }
+    }
+
+    /// Accounts for the grants of earlier leaders.
+    fn account(&mut self, now: Moment) {
+        self.open_ledgers();
+        let Some(takeover) = &self.takeover else {
+            return;
+        };
+        for (service, ledger) in &mut self.ledgers {
+            takeover.adopt(now, &self.me, &self.peers, &self.times, ledger, service);
+        }
+        // Without a configuration it is not known which services are divided by key.
+        if self.intent.config.is_none() || !takeover.is_over(now, &self.peers, &self.times) {
+            return;
+        }
+        for ledger in self.ledgers.values_mut() {
+            for row in ledger.rows_mut() {
+                if row.state == RowState::Unknown {
+                    row.state = RowState::free();
+                }
+            }
+            ledger.merge();
+        }
+        self.takeover = None;
+    }
+
+    fn open_ledgers(&mut self) {
+        let Some(config) = &self.intent.config else {
+            return;
+        };
+        let keyed = config.services.iter().filter(|(_, service)| service.keyed);
+        for (name, _) in keyed {
+            // A service that is first divided by key after all grants were accounted for has none.
+            let start = match self.takeover.is_some() {
+                true => RowState::Unknown,
+                false => RowState::free(),
+            };
+            self.ledgers.entry(name.clone()).or_insert_with(|| Ledger::new(start));
+        }
+    }
+
+    /// Returns all that a node's server is to hold, or nothing while it is not known what it does.
+    fn assignment(&self, node: &NodeName) -> Option<Assignment> {
+        self.intent.config.as_ref()?;
+        let peer = self.peers.get(node)?;
+        let server = peer.member.server.as_ref().filter(|server| server.is_grantable())?;
+        let mut ranges = Vec::new();
+        if let Some(ledger) = self.ledgers.get(&peer.member.service) {
+            for row in ledger.rows() {
+                match &row.state {
+                    RowState::Unknown if holds(&peer.holding, row.keys) => return None,
+                    RowState::Held(tenure) if tenure.node == *node => ranges.push(GrantedRange {
+                        held: HeldRange {
+                            keys: row.keys,
+                            fence: tenure.fence,
+                        },
+                        handover: tenure.handover.clone(),
+                    }),
+                    _ => {}
+                }
+            }
+        }
+        Some(Assignment {
+            server: server.life.clone(),
+            ranges,
+        })
+    }
+
+    fn extend(&mut self, now: Moment, node: &NodeName) {
+        let lease = self.authority.left(now, &self.times);
+        let end = now + LeaseTimes::waited(lease);
+        for ledger in self.ledgers.values_mut() {
+            for row in ledger.rows_mut() {
+                match &mut row.state {
+                    RowState::Held(tenure) if tenure.node == *node => tenure.until = end,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// Speaks to nodes that are silent: one that has started while the store is away knows nobody.
+    fn call_silent(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        if !self.keeper.is_call_due(now, self.times.suspect) {
+            return;
+        }
+        let silent = self.peers.values().filter(|peer| !peer.is_heard(now));
+        let mut addresses: Vec<SocketAddr> = silent.map(|peer| peer.member.control).collect();
+        let unknown = self.record.voters.iter().filter(|voter| !self.peers.contains_key(&voter.node));
+        addresses.extend(unknown.map(|voter| voter.control));
+        for address in addresses {
+            let record = Box::new(self.record.clone());
+            actions.push(Action::Send(address, PeerMessage::Lead(record)));
+        }
+    }
+
+    /// Returns the members that this leader hears, for the directory of its own node.
+    pub(in crate::ownership) fn heard(&self, now: Moment) -> impl Iterator<Item = &Member> {
+        self.peers.values().filter(move |peer| peer.is_heard(now)).map(|peer| &peer.member)
+    }
+}
+
+fn holds(holding: &[HeldRange], keys: crate::model::KeyRange) -> bool {
+    holding.iter().any(|held| held.keys.common(&keys).is_some())
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/mod.rs
@@ -0,0 +1,14 @@
+//! What the leader does: it accounts for all keys, places them and renews leases.
+
+mod authority;
+mod leader_machine;
+mod ledger;
+mod moves;
+mod peer;
+mod publishing;
+mod record_keeping;
+mod row;
+mod takeover;
+
+pub(super) use leader_machine::Leader;
+pub(super) use leader_machine::LeaderStart;
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/moves.rs
@@ -0,0 +1,233 @@
+//! Granting free ranges and moving held ones.
+
+use std::time::Duration;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::time::Moment;
+
+use super::leader_machine::Leader;
+use super::peer::Peer;
+use super::row::Freedom;
+use super::row::RowState;
+use super::row::Tenure;
+use crate::model::Handover;
+use crate::model::KeyRange;
+use crate::ownership::LeaseTimes;
+use crate::placement::Candidate;
+use crate::placement::pick_move;
+use crate::placement::share_out;
+
+/// How long the servers of a service must stay the same before its keys are first shared out: a
+/// fleet starts within half a second, and what is granted too early must move at once.
+const GATHER: Duration = Duration::from_millis(1_500);
+/// The longest wait for that.
+const GATHER_MOST: Duration = Duration::from_secs(4);
+/// The time from one move for the sake of balance to the next. A move takes about a second, and its
+/// effect shows in the load a second later.
+const MOVE_PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Follows when a service's keys were moved.
+#[derive(Clone, Debug)]
+pub(super) struct MoveClock {
+    opened: Moment,
+    servers: Vec<NodeName>,
+    servers_since: Moment,
+    moved: Moment,
+}
+
+impl Leader {
+    /// Grants what is free, takes keys from servers that leave, and levels the load.
+    pub(super) fn place(&mut self, now: Moment) {
+        if self.takeover.is_some() || !self.record.complete {
+            return;
+        }
+        let services: Vec<ServiceName> = self.ledgers.keys().cloned().collect();
+        for service in services {
+            self.place_service(now, &service);
+        }
+    }
+
+    fn place_service(&mut self, now: Moment, service: &ServiceName) {
+        let targets = self.targets(now, service);
+        let clock = self.clocks.entry(service.clone()).or_insert_with(|| MoveClock {
+            opened: now,
+            servers: Vec::new(),
+            servers_since: now,
+            moved: now,
+        });
+        if clock.servers != targets {
+            clock.servers.clone_from(&targets);
+            clock.servers_since = now;
+        }
+        let gathered = now.since(clock.servers_since) >= GATHER || now.since(clock.opened) >= GATHER_MOST;
+        if targets.is_empty() {
+            return;
+        }
+        self.empty_leaving(now, service, &targets);
+        let started = self.ledgers.get(service).is_some_and(|ledger| {
+            ledger.rows().iter().any(|row| row.state.tenure().is_some())
+        });
+        if started || gathered {
+            self.grant_free(now, service, &targets);
+            self.level(now, service, &targets);
+        }
+    }
+
+    /// Returns the nodes whose servers may get keys of a service.
+    fn targets(&self, now: Moment, service: &ServiceName) -> Vec<NodeName> {
+        let usable = |peer: &Peer| {
+            let member = &peer.member;
+            let server = member.server.as_ref();
+            let open = server.is_some_and(|server| server.is_grantable() && !server.draining);
+            let evacuated = self.intent.evacuated.contains(&member.zone);
+            member.service == *service
+                && open
+                && !evacuated
+                && !member.leaving
+                && peer.is_heard(now)
+                // Only recorded nodes may hold keys: a later leader asks just these.
+                && self.record.has(&member.life.node)
+        };
+        let usable = self.peers.iter().filter(|(_, peer)| usable(peer));
+        usable.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// Takes keys from servers that leave or whose zone is emptied.
+    fn empty_leaving(&mut self, now: Moment, service: &ServiceName, targets: &[NodeName]) {
+        let Some(ledger) = self.ledgers.get_mut(service) else {
+            return;
+        };
+        for row in ledger.rows_mut() {
+            let RowState::Held(tenure) = &row.state else {
+                continue;
+            };
+            let peer = self.peers.get(&tenure.node);
+            let leaves = peer.is_some_and(|peer| {
+                let server = peer.member.server.as_ref();
+                server.is_some_and(|server| server.draining)
+                    || self.intent.evacuated.contains(&peer.member.zone)
+            });
+            if leaves && !targets.contains(&tenure.node) {
+                row.state = RowState::Leaving {
+                    tenure: tenure.clone(),
+                    since: now.0,
+                };
+            }
+        }
+    }
+
+    fn grant_free(&mut self, now: Moment, service: &ServiceName, targets: &[NodeName]) {
+        let confirmed = self.authority.confirmed(&self.times);
+        let Some(ledger) = self.ledgers.get(service) else {
+            return;
+        };
+        let free: Vec<(KeyRange, Option<Handover>)> = ledger
+            .rows()
+            .iter()
+            .filter_map(|row| match &row.state {
+                RowState::Free(Freedom { lapsed, handover })
+                    if lapsed.is_none_or(|lapsed| confirmed > lapsed) =>
+                {
+                    Some((row.keys, handover.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        if free.is_empty() {
+            return;
+        }
+        let candidates = self.candidates(service, targets);
+        let keys: Vec<KeyRange> = free.iter().map(|(keys, _)| *keys).collect();
+        for (place, keys, target) in share_out(&keys, &candidates) {
+            let handover = free.get(place).and_then(|(_, handover)| handover.clone());
+            if let Some(node) = targets.get(target) {
+                self.grant(now, service, keys, node, handover);
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        keys: KeyRange,
+        node: &NodeName,
+        handover: Option<Handover>,
+    ) {
+        let server = self.peers.get(node).and_then(|peer| peer.member.server.as_ref());
+        let Some(server) = server.map(|server| server.life.clone()) else {
+            return;
+        };
+        self.fence = self.fence.next();
+        let tenure = Tenure {
+            node: node.clone(),
+            server,
+            fence: self.fence,
+            handover,
+            until: now + LeaseTimes::waited(self.authority.left(now, &self.times)),
+        };
+        if let Some(ledger) = self.ledgers.get_mut(service) {
+            ledger.set(keys, RowState::Held(tenure));
+        }
+    }
+
+    /// Moves the narrowest range that carries enough load from the fullest server to the emptiest.
+    fn level(&mut self, now: Moment, service: &ServiceName, targets: &[NodeName]) {
+        let Some(ledger) = self.ledgers.get(service) else {
+            return;
+        };
+        let moving = ledger.rows().iter().any(|row| !matches!(row.state, RowState::Held(_)));
+        let clock = self.clocks.get(service);
+        let rested = clock.is_some_and(|clock| now.since(clock.moved) >= MOVE_PAUSE);
+        if moving || !rested {
+            return;
+        }
+        let candidates = self.candidates(service, targets);
+        let Some(chosen) = pick_move(&candidates) else {
+            return;
+        };
+        let Some(from) = targets.get(chosen.from) else {
+            return;
+        };
+        if let Some(clock) = self.clocks.get_mut(service) {
+            clock.moved = now;
+        }
+        let held: Vec<(KeyRange, Tenure)> = ledger
+            .rows()
+            .iter()
+            .filter_map(|row| {
+                let tenure = row.state.tenure().filter(|tenure| tenure.node == *from)?;
+                Some((row.keys.common(&chosen.keys)?, tenure.clone()))
+            })
+            .collect();
+        let since = now.0;
+        if let Some(ledger) = self.ledgers.get_mut(service) {
+            for (keys, tenure) in held {
+                ledger.set(keys, RowState::Leaving { tenure, since });
+            }
+        }
+    }
+
+    fn candidates(&self, service: &ServiceName, targets: &[NodeName]) -> Vec<Candidate> {
+        let Some(ledger) = self.ledgers.get(service) else {
+            return Vec::new();
+        };
+        let candidate = |node: &NodeName| {
+            let rows = ledger.rows().iter();
+            let own = rows.filter(|row| {
+                row.state.tenure().is_some_and(|tenure| tenure.node == *node)
+            });
+            let peer = self.peers.get(node);
+            let server = peer.and_then(|peer| peer.member.server.as_ref());
+            Candidate {
+                keys: own.map(|row| row.keys.size()).sum(),
+                slots: server.map_or(1, |server| u32::from(server.slots)).max(1),
+                cold: server.is_some_and(|server| server.cold),
+                load: peer.map(|peer| peer.load).unwrap_or_default(),
+                key_loads: peer.map(|peer| peer.key_loads.clone()).unwrap_or_default(),
+            }
+        };
+        targets.iter().map(candidate).collect()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/peer.rs
@@ -0,0 +1,111 @@
+//! What the leader knows of a node.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+use crate::model::HeldRange;
+use crate::ownership::Beat;
+use crate::ownership::KeyLoad;
+use crate::ownership::Member;
+use crate::ownership::NodeLoad;
+
+/// How long a node may be silent before others are told to avoid it: three of its beats.
+const SILENT: Duration = Duration::from_millis(1_300);
+
+/// Is a node as its beats describe it.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) member: Member,
+    /// The newest beat's number; earlier ones are late and count for nothing.
+    pub(super) sequence: u64,
+    /// When it was last heard; none if it is known only from an earlier leader.
+    pub(super) heard_at: Option<Moment>,
+    /// When it became known.
+    pub(super) known_at: Moment,
+    /// Whether others have been told that it is heard.
+    pub(super) told_heard: bool,
+    /// The stamp of the newest order that it has applied.
+    pub(super) applied: Option<Moment>,
+    /// The newest stamp with which it confirmed the leadership.
+    pub(super) vouched: Option<Moment>,
+    /// Before this moment its lease has surely not ended; none if it has none from before.
+    pub(super) lease_end: Option<Moment>,
+    pub(super) seasoned: bool,
+    pub(super) holding: Vec<HeldRange>,
+    pub(super) load: NodeLoad,
+    pub(super) key_loads: Vec<KeyLoad>,
+    /// The version of the member table that this entry's last change made.
+    pub(super) changed: u64,
+    pub(super) intent: u64,
+}
+
+impl Peer {
+    /// Makes a node that is known from an earlier leader's table only.
+    pub(super) fn from_table(now: Moment, member: Member, changed: u64) -> Self {
+        Self {
+            member,
+            sequence: 0,
+            heard_at: None,
+            known_at: now,
+            told_heard: true,
+            applied: None,
+            vouched: None,
+            lease_end: None,
+            seasoned: false,
+            holding: Vec::new(),
+            load: NodeLoad::default(),
+            key_loads: Vec::new(),
+            changed,
+            intent: 0,
+        }
+    }
+
+    /// Takes over a beat; tells whether others must learn of a change.
+    pub(super) fn hear(&mut self, now: Moment, beat: &Beat) -> bool {
+        let changed = self.member != beat.member || !self.told_heard;
+        if self.member.life != beat.member.life {
+            self.vouched = None;
+        }
+        self.member = beat.member.clone();
+        self.sequence = beat.sequence;
+        self.heard_at = Some(now);
+        self.told_heard = true;
+        self.applied = beat.order.map(Moment);
+        if beat.vouches {
+            self.vouched = self.applied.max(self.vouched);
+        }
+        let left = Duration::from_millis(u64::from(beat.left));
+        self.lease_end = self.applied.filter(|_| beat.left > 0).map(|stamp| stamp + left);
+        self.seasoned = beat.seasoned;
+        self.holding.clone_from(&beat.holding);
+        self.load = beat.load;
+        if !beat.key_loads.is_empty() {
+            self.key_loads.clone_from(&beat.key_loads);
+        }
+        self.intent = beat.intent;
+        changed
+    }
+
+    /// Tells whether the node spoke lately.
+    pub(super) fn is_heard(&self, now: Moment) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < SILENT)
+    }
+
+    /// Tells whether others should be told that it has fallen silent.
+    pub(super) fn fell_silent(&self, now: Moment) -> bool {
+        let last = self.heard_at.unwrap_or(self.known_at);
+        self.told_heard && now.since(last) >= SILENT
+    }
+
+    /// Returns since when the node is silent.
+    pub(super) fn last_word(&self) -> Moment {
+        self.heard_at.unwrap_or(self.known_at)
+    }
+
+    /// Tells whether everything that its backend server holds is known.
+    pub(super) fn is_accounted(&self) -> bool {
+        let settled = self.member.server.as_ref().is_some_and(|server| server.is_grantable());
+        self.heard_at.is_some() && (settled || (self.seasoned && self.holding.is_empty()))
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/record_keeping.rs
@@ -0,0 +1,178 @@
+//! Keeping the leader's record in the store true.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+use super::leader_machine::Leader;
+use super::leader_machine::Peers;
+use crate::boundary::AppendOutcome;
+use crate::ownership::Action;
+use crate::ownership::LeaderRead;
+use crate::ownership::LeaderRecord;
+use crate::ownership::Voter;
+
+/// How long the set of voters must stay as it is until it is written: nodes start together, and
+/// each write costs a call.
+const CALM: Duration = Duration::from_millis(500);
+/// How long a node may be silent and stay a voter.
+const VOTER_SILENCE: Duration = Duration::from_secs(5);
+/// How long a call to the store is waited for at most; the client gives up earlier.
+const CALL: Duration = Duration::from_secs(4);
+
+/// Follows the calls to the leader's topic.
+#[derive(Clone, Debug)]
+pub(super) struct RecordKeeper {
+    /// Where the topic ends, as far as known.
+    end: u64,
+    written: Moment,
+    /// The record of a write whose fate is not known yet.
+    pending: Option<LeaderRecord>,
+    /// When the call in flight was sent.
+    calling: Option<Moment>,
+    asked: Moment,
+    called: Moment,
+    wanted: Vec<Voter>,
+    wanted_since: Moment,
+    overtaken: bool,
+}
+
+impl RecordKeeper {
+    pub(super) fn new(now: Moment, end: u64) -> Self {
+        Self {
+            end,
+            written: now,
+            pending: None,
+            calling: None,
+            asked: now,
+            called: Moment::default(),
+            wanted: Vec::new(),
+            wanted_since: now,
+            overtaken: false,
+        }
+    }
+
+    /// Returns since when a majority of the voters confirms the leadership. While a change of the
+    /// voters is in flight, a later leader may read either set, so both must have a majority.
+    pub(super) fn majority_stamp(&self, record: &LeaderRecord, peers: &Peers) -> Option<Moment> {
+        let stamp = majority_stamp(record, peers)?;
+        match &self.pending {
+            Some(pending) => Some(stamp.min(majority_stamp(pending, peers)?)),
+            None => Some(stamp),
+        }
+    }
+
+    /// Tells whether silent nodes are to be called again.
+    pub(super) fn is_call_due(&mut self, now: Moment, pause: Duration) -> bool {
+        let due = now.since(self.called) >= pause;
+        if due {
+            self.called = now;
+        }
+        due
+    }
+}
+
+impl Leader {
+    /// Tells whether a later claim stands in the store.
+    pub(in crate::ownership) fn is_overtaken(&self) -> bool {
+        self.keeper.overtaken
+    }
+
+    /// Confirms the leadership at the store, and writes the record when it has changed.
+    pub(super) fn keep_record(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let keeper = &mut self.keeper;
+        if keeper.calling.is_some_and(|sent| now.since(sent) < CALL) {
+            return;
+        }
+        let wanted = voters(now, &self.peers);
+        if wanted != keeper.wanted {
+            keeper.wanted = wanted;
+            keeper.wanted_since = now;
+        }
+        let changed = keeper.wanted != self.record.voters || !self.record.complete;
+        let calm = now.since(keeper.wanted_since) >= CALM;
+        let due = (changed && calm) || now.since(keeper.written) >= self.times.refresh;
+        if keeper.pending.is_none() && self.takeover.is_none() && due {
+            let record = LeaderRecord {
+                voters: match calm {
+                    true => keeper.wanted.clone(),
+                    false => self.record.voters.clone(),
+                },
+                complete: true,
+                ..self.record.clone()
+            };
+            keeper.calling = Some(now);
+            keeper.written = now;
+            keeper.pending = Some(record.clone());
+            let end = keeper.end;
+            actions.push(Action::WriteLeader { end, record });
+        } else if now.since(keeper.asked) >= self.times.verify {
+            keeper.calling = Some(now);
+            keeper.asked = now;
+            actions.push(Action::ReadLeader);
+        }
+    }
+
+    /// Learns what became of a write.
+    pub(in crate::ownership) fn wrote(&mut self, outcome: AppendOutcome) {
+        let sent = self.keeper.calling.take();
+        match outcome {
+            AppendOutcome::Appended => {
+                self.keeper.end += 1;
+                if let Some(record) = self.keeper.pending.take() {
+                    self.record = record;
+                }
+                if let Some(sent) = sent {
+                    self.authority.confirm_by_store(sent);
+                }
+            }
+            AppendOutcome::Refused => self.keeper.pending = None,
+            // Another's claim, or an earlier write of ours that came late: the next read tells.
+            AppendOutcome::Overtaken | AppendOutcome::Unknown => {
+                self.keeper.asked = Moment::default();
+            }
+        }
+    }
+
+    /// Learns what the store holds, as asked for at `asked`.
+    pub(in crate::ownership) fn read(&mut self, asked: Moment, read: LeaderRead) {
+        self.keeper.calling = None;
+        let LeaderRead::Newest(record, end) = read else {
+            return;
+        };
+        match record {
+            Some(record) if record.epoch == self.record.epoch && record.leader == self.me => {
+                self.authority.confirm_by_store(asked);
+                // A write whose answer was lost may still land as long as the topic ends where it
+                // wants; once the topic has moved on, this record is what became of it.
+                if end > self.keeper.end {
+                    self.keeper.end = end;
+                    self.record = record;
+                    self.keeper.pending = None;
+                }
+            }
+            _ => self.keeper.overtaken = true,
+        }
+    }
+}
+
+fn voters(now: Moment, peers: &Peers) -> Vec<Voter> {
+    let heard = peers.values().filter(|peer| {
+        peer.heard_at.is_some_and(|at| now.since(at) < VOTER_SILENCE)
+    });
+    let voters = heard.map(|peer| Voter {
+        node: peer.member.life.node.clone(),
+        control: peer.member.control,
+    });
+    voters.collect()
+}
+
+/// Returns the newest moment since which a majority of a record's voters has confirmed.
+fn majority_stamp(record: &LeaderRecord, peers: &Peers) -> Option<Moment> {
+    let vouched = |node| peers.get(node).and_then(|peer| peer.vouched);
+    let mut stamps: Vec<Moment> =
+        record.voters.iter().filter_map(|voter| vouched(&voter.node)).collect();
+    stamps.sort_unstable();
+    let place = stamps.len().checked_sub(record.majority())?;
+    stamps.get(place).copied()
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/takeover.rs
@@ -0,0 +1,141 @@
+//! Accounting for the grants of earlier leaders.
+
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::time::Moment;
+
+use super::ledger::Ledger;
+use super::leader_machine::Peers;
+use super::row::Row;
+use super::row::RowState;
+use super::row::Tenure;
+use crate::model::HeldRange;
+use crate::model::KeyRange;
+use crate::ownership::LeaderRecord;
+use crate::ownership::LeaseTimes;
+use crate::ownership::NodeLife;
+
+/// Follows what is known of earlier leaders' grants.
+///
+/// A range that nobody reports may still be held under the lease of an earlier leader. It becomes
+/// free when every voter has accounted for what its server holds; or when the earlier leader must
+/// have lost its authority and every lease from it has ended.
+#[derive(Clone, Debug)]
+pub(super) struct Takeover {
+    /// When the claim was known to stand; earlier leaders' confirmations by the store are older.
+    claimed: Moment,
+    /// The record that this leader succeeded.
+    last: Option<LeaderRecord>,
+    /// Since when a majority of the voters has followed this leader.
+    majority: Option<Moment>,
+}
+
+impl Takeover {
+    pub(super) fn new(claimed: Moment, last: Option<LeaderRecord>) -> Self {
+        Self {
+            claimed,
+            last,
+            majority: None,
+        }
+    }
+
+    /// Learns whether a majority of the voters follows this leader now. Older words do not add up:
+    /// a voter that has restarted since may have followed the earlier leader again.
+    pub(super) fn note_majority(&mut self, now: Moment, peers: &Peers, times: &LeaseTimes) {
+        let Some(last) = &self.last else {
+            return;
+        };
+        if self.majority.is_some() || last.voters.is_empty() {
+            return;
+        }
+        let follows = |node| {
+            let peer = peers.get(node);
+            peer.and_then(|peer| peer.heard_at).is_some_and(|at| now.since(at) < times.lease)
+        };
+        let count = last.voters.iter().filter(|voter| follows(&voter.node)).count();
+        if count >= last.majority() {
+            self.majority = Some(now);
+        }
+    }
+
+    /// Tells whether every earlier leader's process is known to be gone: a later process runs on
+    /// its host, or it was this one.
+    fn predecessor_is_gone(&self, me: &NodeLife, peers: &Peers) -> bool {
+        let Some(last) = &self.last else {
+            return true;
+        };
+        if !last.complete {
+            return false;
+        }
+        let node = &last.leader.node;
+        if *node == me.node {
+            return true;
+        }
+        let peer = peers.get(node).filter(|peer| peer.heard_at.is_some());
+        peer.is_some_and(|peer| peer.member.life != last.leader)
+    }
+
+    /// Takes over what a node reports, where it is sure that no earlier leader can have given it to
+    /// another.
+    pub(super) fn adopt(
+        &self,
+        now: Moment,
+        me: &NodeLife,
+        peers: &Peers,
+        times: &LeaseTimes,
+        ledger: &mut Ledger,
+        service: &ServiceName,
+    ) {
+        let gone = self.predecessor_is_gone(me, peers);
+        for (node, peer) in peers {
+            let Some(server) = peer.member.server.as_ref().filter(|server| server.is_grantable()) else {
+                continue;
+            };
+            // The earlier leader gives a lapsed lease's keys away only after a confirmation that is
+            // younger than the lapse. Voters who followed this leader before the lease's end never
+            // gave one, and a process that is gone gives nothing away.
+            let in_time = |end: Moment| self.majority.is_some_and(|since| since < end) && now < end;
+            let safe = gone || peer.lease_end.is_some_and(in_time);
+            if peer.member.service != *service || peer.heard_at.is_none() || !safe {
+                continue;
+            }
+            let until = now + LeaseTimes::waited(times.lease);
+            for held in &peer.holding {
+                let tenure = Tenure {
+                    node: node.clone(),
+                    server: server.life.clone(),
+                    fence: held.fence,
+                    handover: None,
+                    until,
+                };
+                for keys in unknown_parts(ledger, held) {
+                    ledger.set(keys, RowState::Held(tenure.clone()));
+                }
+            }
+        }
+    }
+
+    /// Tells whether ranges that nobody has reported are free.
+    pub(super) fn is_over(&self, now: Moment, peers: &Peers, times: &LeaseTimes) -> bool {
+        let Some(last) = &self.last else {
+            return true;
+        };
+        let known = |node| {
+            peers.get(node).is_some_and(|peer| peer.is_heard(now) && peer.is_accounted())
+        };
+        if last.voters.iter().all(|voter| known(&voter.node)) {
+            return true;
+        }
+        let lease = LeaseTimes::waited(times.lease);
+        let by_majority = self.majority.is_some_and(|since| now.since(since) >= lease);
+        let storeless = LeaseTimes::waited(times.storeless + times.lease);
+        (by_majority && now.since(self.claimed) >= lease) || now.since(self.claimed) >= storeless
+    }
+}
+
+/// Returns the parts of a reported range of which nothing was known. A range that another node
+/// holds with a higher token is not the reporter's any more.
+fn unknown_parts(ledger: &Ledger, held: &HeldRange) -> Vec<KeyRange> {
+    let unknown = |row: &&Row| matches!(row.state, RowState::Unknown);
+    let rows = ledger.rows().iter().filter(unknown);
+    rows.filter_map(|row| row.keys.common(&held.keys)).collect()
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/lease_times.rs
@@ -0,0 +1,56 @@
+//! The times of leases.
+
+use std::time::Duration;
+
+/// Holds the times on which the safety of leases and the length of outages rest; see
+/// `docs/design/platform.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTimes {
+    /// How long a leader may act after its leadership was last confirmed, and so the longest lease.
+    /// Keys of a lost host are served again after this; a backend server whose heartbeat comes that
+    /// late loses its keys for a moment.
+    pub lease: Duration,
+    /// How long a leader may act on the word of a majority alone, while the store is away. It
+    /// bounds how long keys stay without an owner when that majority is gone for good.
+    pub storeless: Duration,
+    /// How often a node speaks to its leader.
+    pub beat: Duration,
+    /// How long a leader may be silent before its nodes look for another.
+    pub suspect: Duration,
+    /// How often a leader confirms its leadership at the store.
+    pub verify: Duration,
+    /// How often a leader writes its record again, so that a node that no peer answers can tell a
+    /// living leader from a lost one.
+    pub refresh: Duration,
+}
+
+impl Default for LeaseTimes {
+    fn default() -> Self {
+        Self {
+            // Four heartbeats of a backend server, which come about every 0.9 s.
+            lease: Duration::from_millis(3_500),
+            // Longer than the store's usual outages of 4 to 16 s.
+            storeless: Duration::from_secs(25),
+            // Three tries within `suspect`.
+            beat: Duration::from_millis(400),
+            // Leaves two thirds of a lease to find the next leader in.
+            suspect: Duration::from_millis(1_200),
+            // Several tries within a lease.
+            verify: Duration::from_millis(800),
+            refresh: Duration::from_secs(6),
+        }
+    }
+}
+
+impl LeaseTimes {
+    /// Returns how long the other side of a lease of `span` must be waited for: its clock may run
+    /// three hundredths slower than ours.
+    pub fn waited(span: Duration) -> Duration {
+        span + span * 3 / 100
+    }
+
+    /// Returns what may be given away of `span`, for a clock that runs three hundredths slower.
+    pub fn given(span: Duration) -> Duration {
+        span * 97 / 100
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/message/beat.rs
@@ -0,0 +1,55 @@
+//! What a node says to its leader.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Epoch;
+use super::Member;
+use super::NodeLoad;
+use crate::model::FreedRange;
+use crate::model::HeldRange;
+use crate::model::KeyRange;
+
+/// Says how many requests a second a range of keys gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct KeyLoad {
+    /// The keys.
+    pub keys: KeyRange,
+    /// Requests, in tenths a second.
+    pub rate: u32,
+}
+
+/// Is one heartbeat of a node to its leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Beat {
+    /// The epoch that the node follows.
+    pub epoch: Epoch,
+    /// The node.
+    pub member: Member,
+    /// Numbers the heartbeats of a life; the order that answers it repeats it.
+    pub sequence: u64,
+    /// The stamp of the newest order that the node has applied, on the leader's clock.
+    pub order: Option<u64>,
+    /// Whether the node may confirm a leadership: its earlier life can't have followed a later one.
+    pub vouches: bool,
+    /// How long, in milliseconds, the node's lease lasts from the sending of this.
+    pub left: u32,
+    /// Whether the node's process has outlived every lease of an earlier life.
+    pub seasoned: bool,
+    /// All that its backend server may hold.
+    pub holding: Vec<HeldRange>,
+    /// What its backend server has released lately.
+    pub freed: Vec<FreedRange>,
+    /// The load.
+    pub load: NodeLoad,
+    /// The load of its keys, now and then.
+    pub key_loads: Vec<KeyLoad>,
+    /// The version of the member table that the node has.
+    pub table: u64,
+    /// The version of the table of owners that the node has.
+    pub owners: u64,
+    /// How far the node has read the operators' intent.
+    pub intent: u64,
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/message/mod.rs
@@ -0,0 +1,27 @@
+//! What nodes tell each other and leave in the store.
+
+mod beat;
+mod epoch;
+mod leader_record;
+mod member;
+mod node_life;
+mod node_load;
+mod order;
+mod peer_message;
+mod server_card;
+mod table_update;
+
+pub use beat::Beat;
+pub use beat::KeyLoad;
+pub use epoch::Epoch;
+pub use leader_record::LeaderRecord;
+pub use leader_record::Voter;
+pub use member::Member;
+pub use node_life::NodeLife;
+pub use node_load::NodeLoad;
+pub use order::Assignment;
+pub use order::Order;
+pub use peer_message::PeerMessage;
+pub use server_card::ServerCard;
+pub use table_update::OwnedRange;
+pub use table_update::TableUpdate;
--- /dev/null
+++ b/crates/mesh/src/ownership/message/node_load.rs
@@ -0,0 +1,16 @@
+//! The load of a node's backend server.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Is what a node counts of the work at its backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct NodeLoad {
+    /// Requests that wait or run.
+    pub busy: u16,
+    /// How many may run at once; 0 while the server takes no work.
+    pub limit: u16,
+    /// How many times as long as usual its work takes, in percent.
+    pub slowness: u16,
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/message/order.rs
@@ -0,0 +1,42 @@
+//! What a leader answers.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Epoch;
+use super::NodeLife;
+use super::TableUpdate;
+use crate::model::GrantedRange;
+use crate::model::ServerLife;
+
+/// Says everything that a backend server is to hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Assignment {
+    /// The server; its next life holds nothing of this.
+    pub server: ServerLife,
+    /// Its ranges. What is left out is to be released.
+    pub ranges: Vec<GrantedRange>,
+}
+
+/// Is a leader's answer to one heartbeat of a node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Order {
+    /// The leader's epoch.
+    pub epoch: Epoch,
+    /// The leader.
+    pub leader: NodeLife,
+    /// The heartbeat that it answers.
+    pub sequence: u64,
+    /// When the leader sent it, on the leader's clock.
+    pub stamp: u64,
+    /// How long, in milliseconds, the node's lease lasts from the sending of that heartbeat.
+    pub lease: u32,
+    /// What the node's backend server is to hold, as soon as the leader knows what it holds.
+    pub assignment: Option<Assignment>,
+    /// Changes of the tables.
+    pub update: TableUpdate,
+    /// How far the leader has read the operators' intent.
+    pub intent: u64,
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/message/peer_message.rs
@@ -0,0 +1,56 @@
+//! Everything that nodes send each other as datagrams.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Beat;
+use super::Epoch;
+use super::LeaderRecord;
+use super::NodeLife;
+use super::Order;
+
+/// Is one datagram.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A node speaks to its leader.
+    Beat(Box<Beat>),
+    /// A leader answers.
+    Order(Box<Order>),
+    /// A node that does not hear the leader of an epoch asks another whether it does.
+    Ask {
+        /// Who asks.
+        from: NodeLife,
+        /// The epoch.
+        epoch: Epoch,
+    },
+    /// The answer.
+    Say {
+        /// Who answers.
+        from: NodeLife,
+        /// The epoch that was asked for.
+        epoch: Epoch,
+        /// Whether it hears that leader, or a later one.
+        hears: bool,
+    },
+    /// A leader speaks to a node that does not: a new leader, or a node that knows nobody because
+    /// it has started while the store is away.
+    Lead(Box<LeaderRecord>),
+    /// The leader of an epoch stands down; the next is to be found at once.
+    Resign {
+        /// Its epoch.
+        epoch: Epoch,
+    },
+}
+
+impl PeerMessage {
+    /// Writes the message as a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        postcard::to_allocvec(self)
+    }
+
+    /// Reads a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/mod.rs
@@ -0,0 +1,40 @@
+//! Who may hold which keys: one leader named through the metadata store, leases by heartbeat.
+//!
+//! The argument why two backend servers never hold a key at the same time stands in
+//! `docs/design/platform.md`; the rule that each check serves is named beside it.
+
+mod action;
+mod directory;
+mod election;
+mod event;
+mod holder;
+mod leader;
+mod lease_times;
+mod message;
+mod node_machine;
+
+pub use action::Action;
+pub use directory::Directory;
+pub use directory::DirectoryEntry;
+pub use event::Event;
+pub use event::LeaderRead;
+pub use event::ServerWord;
+pub use holder::HeartbeatAnswer;
+pub use lease_times::LeaseTimes;
+pub use message::Assignment;
+pub use message::Beat;
+pub use message::Epoch;
+pub use message::KeyLoad;
+pub use message::LeaderRecord;
+pub use message::Member;
+pub use message::NodeLife;
+pub use message::NodeLoad;
+pub use message::Order;
+pub use message::OwnedRange;
+pub use message::PeerMessage;
+pub use message::ServerCard;
+pub use message::TableUpdate;
+pub use message::Voter;
+pub use node_machine::NodeMachine;
+pub use node_machine::Note;
+pub use node_machine::NodeProfile;
--- /dev/null
+++ b/crates/mesh/src/traffic/admission/cold_gate.rs
@@ -0,0 +1,55 @@
+//! What a cold backend server bears.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+/// The span over which requests to a cold server are counted.
+const SPAN: Duration = Duration::from_millis(1_000);
+/// Widens that span: what is sent evenly may arrive a little bunched.
+const BUNCHING: Duration = Duration::from_millis(50);
+
+/// Holds requests back while the server is cold: above its rate it crashes, and every request in it
+/// is lost.
+#[derive(Clone, Debug, Default)]
+pub struct ColdGate {
+    rate: Option<f64>,
+    until: Moment,
+    sent: VecDeque<Moment>,
+}
+
+impl ColdGate {
+    /// Sets the rate that a cold server bears, in requests a second.
+    pub fn set_rate(&mut self, rate: Option<f64>) {
+        self.rate = rate;
+    }
+
+    /// Learns until when the server is cold.
+    pub fn set_cold(&mut self, until: Moment) {
+        self.until = until;
+    }
+
+    /// Returns when the next request may go; none if it may go now.
+    pub fn wait(&mut self, now: Moment) -> Option<Duration> {
+        while self.sent.front().is_some_and(|at| now.since(*at) >= SPAN + BUNCHING) {
+            self.sent.pop_front();
+        }
+        let rate = self.rate.filter(|_| now < self.until)?;
+        if (self.sent.len() as f64) + 1.0 <= rate.max(1.0) {
+            return None;
+        }
+        let oldest = self.sent.front()?;
+        Some((SPAN + BUNCHING).saturating_sub(now.since(*oldest)))
+    }
+
+    /// Counts a request that is sent.
+    pub fn count(&mut self, now: Moment) {
+        self.sent.push_back(now);
+    }
+
+    /// Tells whether the server is cold.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.rate.is_some() && now < self.until
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/traffic/choice/chooser.rs
@@ -0,0 +1,108 @@
+//! The choice.
+
+use std::collections::BTreeMap;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::ids::ZoneName;
+use quetzalrack_core::time::Moment;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::outlook::Outlook;
+use crate::ownership::Directory;
+use crate::ownership::DirectoryEntry;
+use crate::ownership::NodeLoad;
+
+/// What the way to another zone counts like, in shares of a server's slots: the own zone is taken
+/// until its server is this much fuller than another.
+const ZONE_COST: f64 = 0.35;
+/// How much of its cost is left to chance, so that nodes with the same table do not all choose the
+/// same server.
+const CHANCE: f64 = 0.1;
+/// Below this fill a server has a free slot for the request in any case.
+const ROOMY: f64 = 0.7;
+/// What a share of failures counts like, in shares of a server's slots.
+const FAILURE_COST: f64 = 2.0;
+/// What a cold server counts like; it bears a few requests a second.
+const COLD_COST: f64 = 0.8;
+
+/// Chooses nodes by the fill of their servers, the way, and what became of recent requests.
+#[derive(Clone, Debug)]
+pub struct Chooser {
+    zone: ZoneName,
+    outlooks: BTreeMap<NodeName, Outlook>,
+    random: ChaCha8Rng,
+}
+
+impl Chooser {
+    /// Makes a chooser for a node in `zone`.
+    pub fn new(zone: ZoneName, seed: u64) -> Self {
+        Self {
+            zone,
+            outlooks: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses a node whose server runs a service, leaving out those in `tried`.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        directory: &Directory,
+        service: &ServiceName,
+        tried: &[NodeName],
+    ) -> Option<NodeName> {
+        let usable = directory.members.iter().filter(|(name, entry)| {
+            entry.member.service == *service && is_open(entry) && !tried.contains(name)
+        });
+        let mut best: Option<(f64, &NodeName)> = None;
+        for (name, entry) in usable {
+            let outlook = self.outlooks.get(name);
+            let chance = self.random.random::<f64>() * CHANCE;
+            let cost = cost(now, &self.zone, entry, outlook) + chance;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, name));
+            }
+        }
+        best.map(|(_, name)| name.clone())
+    }
+
+    /// Tells whether a node could lately not be reached.
+    pub fn is_avoided(&self, now: Moment, node: &NodeName) -> bool {
+        self.outlooks.get(node).is_some_and(|outlook| outlook.is_avoided(now))
+    }
+
+    /// Counts a request that is sent to a node.
+    pub fn sent(&mut self, node: &NodeName) {
+        self.outlooks.entry(node.clone()).or_default().sent();
+    }
+
+    /// Learns how a request at a node ended, and the load that came with the answer.
+    pub fn ended(&mut self, now: Moment, node: &NodeName, load: Option<NodeLoad>, failed: bool) {
+        self.outlooks.entry(node.clone()).or_default().ended(now, load, failed);
+    }
+
+    /// Learns that a node could not be reached.
+    pub fn unreachable(&mut self, now: Moment, node: &NodeName) {
+        self.outlooks.entry(node.clone()).or_default().unreachable(now);
+    }
+}
+
+fn is_open(entry: &DirectoryEntry) -> bool {
+    let server = entry.member.server.as_ref();
+    entry.heard && !entry.member.leaving && server.is_some_and(|server| !server.draining)
+}
+
+fn cost(now: Moment, zone: &ZoneName, entry: &DirectoryEntry, outlook: Option<&Outlook>) -> f64 {
+    let unknown = Outlook::default();
+    let outlook = outlook.unwrap_or(&unknown);
+    let fill = outlook.fill(now, entry.load);
+    let way = if entry.member.zone == *zone { 0.0 } else { ZONE_COST };
+    let cold = entry.member.server.as_ref().is_some_and(|server| server.cold);
+    let cold = if cold { COLD_COST } else { 0.0 };
+    // Far beyond any fill: a node that can't be reached is the last choice.
+    let away = if outlook.is_avoided(now) { 10.0 } else { 0.0 };
+    (fill - ROOMY).max(0.0) + way + cold + outlook.failures() * FAILURE_COST + away
+}
--- /dev/null
+++ b/crates/mesh/src/traffic/choice/mod.rs
@@ -0,0 +1,9 @@
+//! Which node gets a request that any backend server of its service may run.
+//!
+//! Load pattern: unequal servers whose speed changes many times a second, seen by many nodes that
+//! each know only a part of the traffic.
+
+mod chooser;
+mod outlook;
+
+pub use chooser::Chooser;
--- /dev/null
+++ b/crates/mesh/src/traffic/choice/outlook.rs
@@ -0,0 +1,72 @@
+//! What a node expects of another.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+use crate::ownership::NodeLoad;
+
+/// How long a load that came with an answer is preferred to the leader's table.
+const FRESH: Duration = Duration::from_millis(600);
+/// How long a node that could not be reached is avoided, first and at most.
+const AVOIDED: Duration = Duration::from_millis(250);
+/// See [`AVOIDED`].
+const AVOIDED_MOST: Duration = Duration::from_secs(2);
+/// The weight of the newest end in the share of failures.
+const WEIGHT: f64 = 0.1;
+
+/// Keeps what this node saw of another.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Outlook {
+    reported: Option<(Moment, NodeLoad)>,
+    /// Requests sent there and not ended, and how many of them since the last report.
+    outstanding: u32,
+    since_report: i64,
+    avoided_until: Moment,
+    avoided: Duration,
+    failures: f64,
+}
+
+impl Outlook {
+    pub(super) fn sent(&mut self) {
+        self.outstanding += 1;
+        self.since_report += 1;
+    }
+
+    pub(super) fn ended(&mut self, now: Moment, load: Option<NodeLoad>, failed: bool) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        self.since_report -= 1;
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failures += (sample - self.failures) * WEIGHT;
+        if let Some(load) = load {
+            self.reported = Some((now, load));
+            self.since_report = 0;
+            self.avoided = Duration::ZERO;
+        }
+    }
+
+    /// Learns that the node could not be reached; a second time doubles how long it is avoided.
+    pub(super) fn unreachable(&mut self, now: Moment) {
+        self.avoided = (self.avoided * 2).clamp(AVOIDED, AVOIDED_MOST);
+        self.avoided_until = now + self.avoided;
+    }
+
+    pub(super) fn is_avoided(&self, now: Moment) -> bool {
+        now < self.avoided_until
+    }
+
+    pub(super) fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    /// Estimates how full the node's server is, as a share of what it does at once.
+    pub(super) fn fill(&self, now: Moment, table: NodeLoad) -> f64 {
+        let fresh = self.reported.filter(|(at, _)| now.since(*at) < FRESH);
+        let (load, extra) = match fresh {
+            Some((_, load)) => (load, self.since_report.max(0)),
+            None => (table, 0),
+        };
+        let busy = (i64::from(load.busy) + extra).max(i64::from(self.outstanding));
+        busy as f64 / f64::from(load.limit.max(1))
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/traffic/mod.rs
@@ -0,0 +1,10 @@
+//! How requests wait, are refused, placed and tried again.
+
+pub mod admission;
+pub mod choice;
+mod key_counter;
+mod not_run;
+pub mod retry;
+
+pub use key_counter::KeyCounter;
+pub use not_run::NotRun;
--- /dev/null
+++ b/crates/mesh/src/traffic/retry/budget.rs
@@ -0,0 +1,62 @@
+//! The budget of second attempts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+/// The part of the allowed ratio that is used: nodes count apart, and what one of them counts late
+/// must not break the bound of all.
+const USED: f64 = 0.7;
+/// The part of the common slack that one node takes, at least for its first failures.
+const SLACK_PART: f64 = 0.03;
+
+/// Bounds the second attempts at a service by a share of this node's own requests to it.
+///
+/// Every node keeps below the share, so all together do, without asking one another.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    ratio: f64,
+    window: Duration,
+    slack: f64,
+    requests: VecDeque<Moment>,
+    spent: VecDeque<Moment>,
+}
+
+impl RetryBudget {
+    /// Makes a budget from what all nodes together may spend.
+    pub fn new(ratio: f64, window: Duration, slack: f64) -> Self {
+        Self {
+            ratio: ratio * USED,
+            window,
+            slack: slack * SLACK_PART,
+            requests: VecDeque::new(),
+            spent: VecDeque::new(),
+        }
+    }
+
+    /// Counts a request's first attempt.
+    pub fn count(&mut self, now: Moment) {
+        self.requests.push_back(now);
+        self.age(now);
+    }
+
+    /// Takes one second attempt, if the budget has one.
+    pub fn take(&mut self, now: Moment) -> bool {
+        self.age(now);
+        let allowed = self.requests.len() as f64 * self.ratio + self.slack;
+        if self.spent.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.spent.push_back(now);
+        true
+    }
+
+    fn age(&mut self, now: Moment) {
+        for kept in [&mut self.requests, &mut self.spent] {
+            while kept.front().is_some_and(|at| now.since(*at) >= self.window) {
+                kept.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/traffic/retry/mod.rs
@@ -0,0 +1,8 @@
+//! Second attempts.
+//!
+//! Load pattern: a service whose servers fail or refuse part of their requests, or all of them at
+//! once; each second attempt is load on the ones that are left.
+
+mod budget;
+
+pub use budget::RetryBudget;
--- /dev/null
+++ b/crates/rack/src/clock/mod.rs
@@ -0,0 +1,14 @@
+//! The host's clock.
+
+use quetzalrack_core::time::Moment;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// Reads the clock that counts suspended time: by the steady one, a thawed node would take a lapsed
+/// lease for a valid one.
+pub fn now() -> Moment {
+    let read = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(read.tv_sec).unwrap_or_default();
+    let nanoseconds = u64::try_from(read.tv_nsec).unwrap_or_default();
+    Moment(seconds * 1_000_000_000 + nanoseconds)
+}
--- /dev/null
+++ b/crates/rack/src/command/mod.rs
@@ -0,0 +1,5 @@
+//! The command line of `quetzalrack-rack`, and its signals.
+
+mod rack_command;
+
+pub use rack_command::RackCommand;
--- /dev/null
+++ b/crates/rack/src/control/control_loop.rs
@@ -0,0 +1,307 @@
+//! The loop around the control machine.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::boundary::SharedStore;
+use quetzalrack_mesh::model::HostSettings;
+use quetzalrack_mesh::model::OperatorsIntent;
+use quetzalrack_mesh::ownership::Action;
+use quetzalrack_mesh::ownership::Event;
+use quetzalrack_mesh::ownership::HeartbeatAnswer;
+use quetzalrack_mesh::ownership::LeaseTimes;
+use quetzalrack_mesh::ownership::NodeMachine;
+use quetzalrack_mesh::ownership::NodeProfile;
+use quetzalrack_mesh::ownership::PeerMessage;
+use quetzalrack_mesh::ownership::ServerWord;
+use quetzalrack_mesh::routing::RouteTable;
+use quetzalrack_platform::request::READINESS_PATH;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+
+use super::http_port::serve_port;
+use super::intent_reader::IntentReader;
+use super::peer_intent::PeerIntent;
+use super::server_port::ServerPort;
+use super::server_port::ServerQuestion;
+use super::server_port::status;
+use super::store_calls::StoreCalls;
+use crate::clock;
+use crate::metrics::Metrics;
+use crate::shared::Board;
+use crate::shared::NodeView;
+use crate::shared::ServerView;
+
+/// How often the machine looks at the time: a quarter of a beat.
+const TICK: Duration = Duration::from_millis(100);
+/// The largest datagram.
+const DATAGRAM: usize = 65_507;
+/// How many heartbeats of a backend server must be missing, beside a port that takes no
+/// connections, until it counts as gone; a server that starts anew is heard by then.
+const GONE_BEATS: f64 = 1.6;
+
+/// Is what the control thread needs.
+pub struct ControlSettings {
+    /// The host.
+    pub host: HostSettings,
+    /// What the node says of itself.
+    pub profile: NodeProfile,
+    /// The metadata store.
+    pub store: Arc<dyn SharedStore>,
+}
+
+/// Runs the control machine on the thread that runs this.
+pub struct ControlNode {
+    settings: ControlSettings,
+    board: Arc<Board>,
+    metrics: Arc<Metrics>,
+    shutdown: mpsc::UnboundedReceiver<()>,
+}
+
+/// Is the machine with its hands.
+struct Running {
+    machine: NodeMachine,
+    board: Arc<Board>,
+    metrics: Arc<Metrics>,
+    socket: Rc<UdpSocket>,
+    store: StoreCalls,
+    peers: PeerIntent,
+    intent_offset: Option<u64>,
+    view: NodeView,
+    gone_told: bool,
+    heartbeat: Duration,
+}
+
+impl ControlNode {
+    /// Makes the control side of a node; a word on `shutdown` tells it that the process leaves.
+    pub fn new(
+        settings: ControlSettings,
+        board: Arc<Board>,
+        metrics: Arc<Metrics>,
+        shutdown: mpsc::UnboundedReceiver<()>,
+    ) -> Self {
+        Self {
+            settings,
+            board,
+            metrics,
+            shutdown,
+        }
+    }
+
+    /// Runs until the process ends.
+    pub fn run(self) -> io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, self.serve())
+    }
+
+    async fn serve(self) -> io::Result<()> {
+        let host = &self.settings.host;
+        let socket = Rc::new(UdpSocket::bind(self.settings.profile.control).await?);
+        let heartbeats = TcpListener::bind(host.listen.heartbeats).await?;
+        let readiness = TcpListener::bind(host.listen.readiness).await?;
+        let (questions, asked) = mpsc::unbounded_channel();
+        let (events, happened) = mpsc::unbounded_channel();
+        let port = Rc::new(ServerPort {
+            questions,
+            metrics: Arc::clone(&self.metrics),
+        });
+        tokio::task::spawn_local(serve_port(heartbeats, move |request| {
+            Rc::clone(&port).answer(request)
+        }));
+        self.serve_readiness(readiness);
+        let intent = Rc::new(RefCell::new(OperatorsIntent::default()));
+        let reader = IntentReader {
+            store: Arc::clone(&self.settings.store),
+            events: events.clone(),
+            metrics: Arc::clone(&self.metrics),
+            intent: Rc::clone(&intent),
+        };
+        tokio::task::spawn_local(reader.run());
+        let http = reqwest::Client::builder().no_proxy().http1_only().build();
+        let peers = PeerIntent {
+            http: http.map_err(io::Error::other)?,
+            events: events.clone(),
+            intent,
+        };
+        let running = Running {
+            machine: NodeMachine::new(
+                clock::now(),
+                self.settings.profile.clone(),
+                LeaseTimes::default(),
+            ),
+            board: self.board,
+            socket,
+            store: StoreCalls {
+                store: Arc::clone(&self.settings.store),
+                events,
+                metrics: Arc::clone(&self.metrics),
+            },
+            metrics: self.metrics,
+            peers,
+            intent_offset: None,
+            view: NodeView::default(),
+            gone_told: false,
+            heartbeat: host.heartbeat,
+        };
+        running.run(asked, happened, self.shutdown).await;
+        Ok(())
+    }
+
+    fn serve_readiness(&self, listener: TcpListener) {
+        let board = Arc::clone(&self.board);
+        tokio::task::spawn_local(serve_port(listener, move |request| {
+            let view = board.view();
+            let known = request.uri().path() == READINESS_PATH;
+            // Ready means that a client's request can be placed now.
+            let ready = view.routes.is_some()
+                && !view.directory.members.is_empty()
+                && !board.is_leaving();
+            let status = match (known, ready) {
+                (false, _) => status(StatusCode::NOT_FOUND),
+                (true, false) => status(StatusCode::SERVICE_UNAVAILABLE),
+                (true, true) => status(StatusCode::OK),
+            };
+            async move { status }
+        }));
+    }
+}
+
+impl Running {
+    async fn run(
+        mut self,
+        mut asked: mpsc::UnboundedReceiver<ServerQuestion>,
+        mut happened: mpsc::UnboundedReceiver<Event>,
+        mut shutdown: mpsc::UnboundedReceiver<()>,
+    ) {
+        let mut buffer = vec![0; DATAGRAM];
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let socket = Rc::clone(&self.socket);
+        loop {
+            let due = self.machine.beat_due().since(clock::now());
+            tokio::select! {
+                received = socket.recv_from(&mut buffer) => {
+                    if let Ok((length, from)) = received {
+                        self.take(from, buffer.get(..length).unwrap_or_default());
+                    }
+                }
+                Some((word, answer)) = asked.recv() => self.hear(word, answer),
+                Some(event) = happened.recv() => self.step(event, None),
+                Some(()) = shutdown.recv() => {
+                    self.view.leaving = true;
+                    self.step(Event::Shutdown, None);
+                }
+                _ = tick.tick() => self.tick(),
+                () = tokio::time::sleep(due) => self.step(Event::Tick, None),
+            }
+        }
+    }
+
+    fn take(&mut self, from: SocketAddr, bytes: &[u8]) {
+        match PeerMessage::decode(bytes) {
+            Ok(message) => self.step(Event::Message(from, message), None),
+            Err(error) => {
+                self.metrics.unreadable("datagram");
+                log::warn!(event = "datagram_unreadable", from:% = from; "{error}");
+            }
+        }
+    }
+
+    fn hear(&mut self, word: ServerWord, answer: oneshot::Sender<HeartbeatAnswer>) {
+        if let ServerWord::Leaves(id) = &word {
+            log::info!(event = "server_leaves", server:% = id; "");
+        }
+        self.gone_told = false;
+        self.step(Event::Server(word), Some(answer));
+    }
+
+    fn tick(&mut self) {
+        let report = self.board.report();
+        self.step(Event::Load(report.load, report.key_loads.clone()), None);
+        if report.server_gone && !self.gone_told && self.server_is_silent() {
+            self.gone_told = true;
+            log::warn!(event = "server_gone", why = "its port refuses connections"; "");
+            self.step(Event::Server(ServerWord::Gone), None);
+        }
+        self.step(Event::Tick, None);
+    }
+
+    fn server_is_silent(&self) -> bool {
+        let heard = self.machine.server_heard_at();
+        heard.is_some_and(|at| clock::now().since(at) >= self.heartbeat.mul_f64(GONE_BEATS))
+    }
+
+    fn step(&mut self, event: Event, answer: Option<oneshot::Sender<HeartbeatAnswer>>) {
+        let now = clock::now();
+        let mut answer = answer;
+        let mut changed = matches!(event, Event::Intent(_) | Event::Shutdown);
+        for action in self.machine.step(now, event) {
+            match action {
+                Action::Send(to, message) => self.send(to, &message),
+                Action::ReadLeader => {
+                    tokio::task::spawn_local(self.store.clone().read());
+                }
+                Action::WriteLeader { end, record } => {
+                    tokio::task::spawn_local(self.store.clone().write(end, record));
+                }
+                Action::Answer(said) => {
+                    // The view goes first: a server that holds keys is sent their requests, and
+                    // one that is told to release them is not.
+                    self.publish(now);
+                    if let Some(answer) = answer.take() {
+                        // A server that has hung up asks again.
+                        answer.send(said).ok();
+                    }
+                }
+                Action::Publish => changed = true,
+                Action::FetchIntent(from) => {
+                    tokio::task::spawn_local(self.peers.clone().fetch(from));
+                }
+                Action::Note(note) => log::info!(
+                    event = note.event, epoch = note.epoch.0, detail = note.detail,
+                    intent = self.machine.intent().offset; ""
+                ),
+            }
+        }
+        if changed {
+            self.publish(now);
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        match message.encode() {
+            // A datagram that can't be sent is a lost one, and those are expected.
+            Ok(bytes) => drop(self.socket.try_send_to(&bytes, to)),
+            Err(error) => log::error!(event = "datagram_not_written"; "{error}"),
+        }
+    }
+
+    fn publish(&mut self, now: Moment) {
+        let intent = self.machine.intent();
+        if self.intent_offset != Some(intent.offset) {
+            self.intent_offset = Some(intent.offset);
+            let routes = intent.config.as_ref().map(|config| RouteTable::new(config));
+            self.view.routes = routes.map(Arc::new);
+            self.view.intent = Arc::new(intent.clone());
+        }
+        self.view.directory = Arc::new(self.machine.directory().clone());
+        self.view.server = self.machine.server().map(|server| ServerView {
+            life: server.life.clone(),
+            address: server.address,
+            slots: server.slots as usize,
+            draining: server.draining,
+            cold_until: self.machine.cold_until(),
+            serving: self.machine.serving(now),
+        });
+        self.board.publish(self.view.clone());
+    }
+}
--- /dev/null
+++ b/crates/rack/src/control/http_port.rs
@@ -0,0 +1,54 @@
+//! Small HTTP ports of the control thread.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+
+/// How long a caller may take for the head of a request on a kept connection; the platform and the
+/// backend server call about once a second.
+const IDLE: Duration = Duration::from_secs(30);
+/// How long to wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers the requests of one port until the process ends.
+pub(super) async fn serve_port<F, A>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> A + 'static,
+    A: Future<Output = Response<Full<Bytes>>> + 'static,
+{
+    let answer = Rc::new(answer);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = "accept_failed", port = "control"; "{error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        // Latency only.
+        stream.set_nodelay(true).ok();
+        let answer = Rc::clone(&answer);
+        let service = service_fn(move |request| {
+            let answer = answer(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(IDLE)
+            .serve_connection(TokioIo::new(stream), service);
+        // A caller that broke off calls again.
+        tokio::task::spawn_local(async move { connection.await.ok() });
+    }
+}
--- /dev/null
+++ b/crates/rack/src/control/server_port.rs
@@ -0,0 +1,81 @@
+//! The backend server's heartbeats.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use quetzalrack_mesh::ownership::HeartbeatAnswer;
+use quetzalrack_mesh::ownership::ServerWord;
+use quetzalrack_platform::server::ServerCall;
+use quetzalrack_platform::server::parse_heartbeat;
+use quetzalrack_platform::server::write_answer;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::metrics::Metrics;
+
+/// Is a word of the backend server that waits for its answer.
+pub(super) type ServerQuestion = (ServerWord, oneshot::Sender<HeartbeatAnswer>);
+
+/// Passes the backend server's calls to the control machine.
+pub(super) struct ServerPort {
+    pub(super) questions: mpsc::UnboundedSender<ServerQuestion>,
+    pub(super) metrics: Arc<Metrics>,
+}
+
+impl ServerPort {
+    pub(super) async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let Some(call) = ServerCall::parse(request.method(), request.uri().path()) else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        let word = match call {
+            ServerCall::Leave(id) => ServerWord::Leaves(id),
+            ServerCall::Heartbeat(id) => {
+                let Ok(body) = request.into_body().collect().await else {
+                    return status(StatusCode::BAD_REQUEST);
+                };
+                match parse_heartbeat(id, &body.to_bytes()) {
+                    Ok(heartbeat) => ServerWord::Heartbeat(heartbeat),
+                    // Another writer's slip names no server; the one that is known stays.
+                    Err(error) => {
+                        self.metrics.unreadable("heartbeat");
+                        log::warn!(event = "heartbeat_unreadable"; "{error}");
+                        return status(StatusCode::BAD_REQUEST);
+                    }
+                }
+            }
+        };
+        let (sender, answer) = oneshot::channel();
+        if self.questions.send((word, sender)).is_err() {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let body = match answer.await {
+            Ok(HeartbeatAnswer::Renewed(renewal)) => {
+                self.metrics.heartbeat("renewed");
+                write_answer(Some(&renewal))
+            }
+            Ok(HeartbeatAnswer::Heard) => {
+                self.metrics.heartbeat("heard");
+                write_answer(None)
+            }
+            Err(_) => return status(StatusCode::SERVICE_UNAVAILABLE),
+        };
+        let mut response = Response::new(Full::new(body.into()));
+        let json = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(CONTENT_TYPE, json);
+        response
+    }
+}
+
+pub(super) fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/rack/src/logging/line_writer.rs
@@ -0,0 +1,176 @@
+//! The thread that writes the log.
+
+use std::io;
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::ErrorChannel;
+use flexi_logger::FlexiLoggerError;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use flexi_logger::writers::LogWriter;
+use log::Record;
+use log::kv::Key;
+use log::kv::Value as LogValue;
+use log::kv::VisitSource;
+use serde_json::Map;
+use serde_json::Value;
+
+use super::LineLimits;
+
+/// How many lines may wait to be written. A reader of stdout that stands still then costs lines,
+/// never a request.
+const WAITING: usize = 2_048;
+/// How long the end of the process waits for the last lines.
+const FLUSH: Duration = Duration::from_millis(200);
+/// What is logged when `RUST_LOG` says nothing; libraries speak up only for trouble.
+const USUAL_LEVELS: &str = "info, hyper=warn, reqwest=warn";
+
+/// Keeps the log running.
+pub struct LogHandle {
+    lines: SyncSender<Message>,
+    _logger: LoggerHandle,
+}
+
+#[derive(Debug)]
+enum Message {
+    Line(String),
+    Flush(SyncSender<()>),
+}
+
+struct LineLogger {
+    lines: SyncSender<Message>,
+    limits: Mutex<LineLimits>,
+    dropped: AtomicU64,
+}
+
+/// Starts the writing thread and makes it the process's log.
+pub fn start_logging() -> Result<LogHandle, FlexiLoggerError> {
+    let (lines, waiting) = sync_channel(WAITING);
+    let logger = LineLogger {
+        lines: lines.clone(),
+        limits: Mutex::default(),
+        dropped: AtomicU64::default(),
+    };
+    let logger = Logger::try_with_env_or_str(USUAL_LEVELS)?
+        .log_to_writer(Box::new(logger))
+        .error_channel(ErrorChannel::DevNull)
+        .start()?;
+    thread::spawn(move || {
+        let mut out = std::io::stdout().lock();
+        while let Ok(message) = waiting.recv() {
+            match message {
+                // A closed pipe has no reader to tell.
+                Message::Line(line) => drop(writeln!(out, "{line}")),
+                Message::Flush(done) => drop(done.send(())),
+            }
+        }
+    });
+    Ok(LogHandle {
+        lines,
+        _logger: logger,
+    })
+}
+
+impl LogHandle {
+    /// Waits a moment for the lines that are still to be written.
+    pub fn flush(&self) {
+        let (done, wait) = sync_channel(1);
+        if self.lines.try_send(Message::Flush(done)).is_ok() {
+            match wait.recv_timeout(FLUSH) {
+                Ok(()) | Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {}
+            }
+        }
+    }
+}
+
+impl LineLogger {
+    fn send(&self, line: String) {
+        if self.lines.try_send(Message::Line(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn limits(&self) -> std::sync::MutexGuard<'_, LineLimits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LogWriter for LineLogger {
+    fn write(&self, _now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let now = Instant::now();
+        let mut fields = Fields::default();
+        // A source that can't be visited leaves its fields out; the message is there all the same.
+        record.key_values().visit(&mut fields).ok();
+        let event = fields.0.get("event").and_then(Value::as_str).unwrap_or("message").to_owned();
+        let left_out = self.limits().drain(now);
+        for (kind, count) in left_out {
+            let mut line = line("WARN", "lines_left_out");
+            line.insert("of".to_owned(), Value::from(kind));
+            line.insert("count".to_owned(), Value::from(count));
+            self.send(Value::Object(line).to_string());
+        }
+        let lost = self.dropped.swap(0, Ordering::Relaxed);
+        if lost > 0 {
+            let mut line = line("WARN", "lines_lost");
+            line.insert("count".to_owned(), Value::from(lost));
+            self.send(Value::Object(line).to_string());
+        }
+        if !self.limits().admit(now, &event) {
+            return Ok(());
+        }
+        let mut line = line(record.level().as_str(), &event);
+        line.append(&mut fields.0);
+        let text = record.args().to_string();
+        if !text.is_empty() {
+            line.insert("text".to_owned(), Value::from(text));
+        }
+        self.send(Value::Object(line).to_string());
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn line(level: &str, event: &str) -> Map<String, Value> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut line = Map::new();
+    line.insert("at".to_owned(), Value::from(since.as_secs_f64()));
+    line.insert("level".to_owned(), Value::from(level));
+    line.insert("event".to_owned(), Value::from(event));
+    line
+}
+
+#[derive(Default)]
+struct Fields(Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: LogValue<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
+            (Some(number), _, _) => Value::from(number),
+            (_, Some(number), _) => Value::from(number),
+            (_, _, Some(truth)) => Value::from(truth),
+            _ => Value::from(value.to_string()),
+        };
+        self.0.insert(key.as_str().to_owned(), value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rack/src/metrics/metrics_page.rs
@@ -0,0 +1,120 @@
+//! What a node counts.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use quetzalrack_mesh::traffic::NotRun;
+
+/// The quantiles that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
+/// How precisely latencies are kept: two digits are enough for a page and take 30 kB a route.
+const DIGITS: u8 = 2;
+
+/// Counts what a node does. Counters only rise; a restart starts them at zero.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    counts: Mutex<Counts>,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    counters: BTreeMap<String, u64>,
+    latencies: BTreeMap<String, Histogram<u64>>,
+}
+
+impl Metrics {
+    /// Counts a job that the backend server answered.
+    pub fn served(&self) {
+        self.add("egress_served_total", "");
+    }
+
+    /// Counts a job that surely did not run here.
+    pub fn not_run(&self, reason: NotRun) {
+        self.add("egress_not_run_total", &label("reason", reason.name()));
+    }
+
+    /// Counts a job that may have run and has no answer.
+    pub fn lost(&self, reason: &str) {
+        self.add("egress_lost_total", &label("reason", reason));
+    }
+
+    /// Counts an answer to a client, and how long it took.
+    pub fn answered(&self, route: &str, status: u16, time: Duration) {
+        let labels = format!("{{route=\"{route}\",status=\"{status}\"}}");
+        self.add("ingress_answers_total", &labels);
+        let mut counts = self.counts();
+        let latencies = counts.latencies.entry(route.to_owned());
+        let latencies = latencies.or_insert_with(|| {
+            // Two digits are always possible.
+            Histogram::new(DIGITS).unwrap_or_else(|_| unreachable!("0 to 5 digits are allowed"))
+        });
+        latencies.saturating_record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+    }
+
+    /// Counts a second attempt.
+    pub fn retried(&self, why: &str) {
+        self.add("ingress_retries_total", &label("why", why));
+    }
+
+    /// Counts a heartbeat of the backend server, by what it was answered.
+    pub fn heartbeat(&self, answer: &str) {
+        self.add("server_heartbeats_total", &label("answer", answer));
+    }
+
+    /// Counts a record, heartbeat or datagram that can't be read.
+    pub fn unreadable(&self, what: &str) {
+        self.add("unreadable_total", &label("what", what));
+    }
+
+    /// Counts a call to the metadata store, by its end.
+    pub fn store_call(&self, call: &str, end: &str) {
+        self.add("store_calls_total", &format!("{{call=\"{call}\",end=\"{end}\"}}"));
+    }
+
+    /// Sets how many connections to the backend server were opened.
+    pub fn set_opened(&self, opened: u64) {
+        let mut counts = self.counts();
+        counts.counters.insert("server_connections_opened_total".to_owned(), opened);
+    }
+
+    /// Writes the page.
+    pub fn page(&self) -> String {
+        let counts = self.counts();
+        let mut page = String::new();
+        for (name, count) in &counts.counters {
+            // Writing to a string never fails.
+            writeln!(page, "quetzalrack_{name} {count}").ok();
+        }
+        for (route, latencies) in &counts.latencies {
+            for quantile in QUANTILES {
+                let seconds = latencies.value_at_quantile(quantile) as f64 / 1e6;
+                writeln!(
+                    page,
+                    "quetzalrack_ingress_seconds{{route=\"{route}\",quantile=\"{quantile}\"}} {seconds}"
+                )
+                .ok();
+            }
+            let count = latencies.len();
+            writeln!(page, "quetzalrack_ingress_seconds_count{{route=\"{route}\"}} {count}").ok();
+        }
+        page
+    }
+
+    fn add(&self, name: &str, labels: &str) {
+        let mut counts = self.counts();
+        *counts.counters.entry(format!("{name}{labels}")).or_default() += 1;
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn label(name: &str, value: &str) -> String {
+    format!("{{{name}=\"{value}\"}}")
+}
--- /dev/null
+++ b/crates/rack/src/node/running_node.rs
@@ -0,0 +1,102 @@
+//! A node's threads.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use quetzalrack_mesh::model::HostSettings;
+use quetzalrack_mesh::ownership::NodeLife;
+use quetzalrack_mesh::ownership::NodeProfile;
+use quetzalrack_platform::store::MetadataStore;
+use tokio::sync::mpsc;
+
+use super::RunError;
+use crate::control::ControlNode;
+use crate::control::ControlSettings;
+use crate::metrics::Metrics;
+use crate::shared::Board;
+use crate::traffic::TrafficNode;
+use crate::traffic::TrafficSettings;
+
+/// Is a running node.
+pub struct RunningNode {
+    board: Arc<Board>,
+    shutdown: mpsc::UnboundedSender<()>,
+    traffic: JoinHandle<io::Result<()>>,
+    control: JoinHandle<io::Result<()>>,
+}
+
+impl RunningNode {
+    /// Starts a node; `metrics` is the port of its page.
+    pub fn spawn(host: HostSettings, metrics: Option<u16>) -> Result<Self, RunError> {
+        let port = host.peer_ports.clone().next().ok_or(RunError::NoPeerPort)?;
+        let peers = SocketAddr::new(host.ip, port);
+        let store = Arc::new(MetadataStore::open(host.store)?);
+        let seed: u64 = rand::random();
+        let board = Arc::new(Board::default());
+        let page = Arc::new(Metrics::default());
+        let (shutdown, told) = mpsc::unbounded_channel();
+        let profile = NodeProfile {
+            life: NodeLife {
+                node: host.node.clone(),
+                life: seed,
+            },
+            zone: host.zone.clone(),
+            control: peers,
+            traffic: peers,
+            service: host.service.clone(),
+            heartbeat: host.heartbeat,
+            seed,
+        };
+        let settings = ControlSettings {
+            host: host.clone(),
+            profile,
+            store,
+        };
+        let control = ControlNode::new(settings, Arc::clone(&board), Arc::clone(&page), told);
+        let settings = TrafficSettings {
+            metrics: metrics.map(|port| SocketAddr::new(host.ip, port)),
+            host,
+            peers,
+            seed,
+        };
+        let traffic = TrafficNode::new(settings, Arc::clone(&board), page);
+        Ok(Self {
+            board,
+            shutdown,
+            control: spawn("control", move || control.run())?,
+            traffic: spawn("traffic", move || traffic.run())?,
+        })
+    }
+
+    /// Tells the node to leave: it finishes what it has.
+    pub fn shutdown(&self) {
+        self.board.set_leaving();
+        // A control thread that is gone has nobody left to tell.
+        self.shutdown.send(()).ok();
+    }
+
+    /// Tells whether the node has ended, by being told or by breaking down.
+    pub fn is_over(&self) -> bool {
+        self.traffic.is_finished() || self.control.is_finished()
+    }
+
+    /// Returns how the node ended.
+    pub fn end(self) -> Result<(), RunError> {
+        if self.traffic.is_finished() {
+            self.traffic.join().map_err(|_| RunError::Broken("traffic"))??;
+            return Ok(());
+        }
+        self.control.join().map_err(|_| RunError::Broken("control"))??;
+        Ok(())
+    }
+}
+
+fn spawn<F>(name: &str, run: F) -> io::Result<JoinHandle<io::Result<()>>>
+where
+    F: FnOnce() -> io::Result<()> + Send + 'static,
+{
+    thread::Builder::new().name(name.to_owned()).spawn(run)
+}
--- /dev/null
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -0,0 +1,259 @@
+//! Serving jobs at the backend server beside the node.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::ids::ZoneName;
+use quetzalrack_mesh::model::KeyRange;
+use quetzalrack_mesh::model::ServerLife;
+use quetzalrack_mesh::model::TimeBounds;
+use quetzalrack_mesh::ownership::NodeLoad;
+use quetzalrack_mesh::traffic::KeyCounter;
+use quetzalrack_mesh::traffic::NotRun;
+
+use super::server_link::ServerLink;
+use super::turn::Turns;
+use crate::clock;
+use crate::metrics::Metrics;
+use crate::shared::Board;
+use crate::shared::NodeView;
+use crate::shared::ServerView;
+use crate::shared::TrafficReport;
+use crate::traffic::job::Job;
+use crate::traffic::outcome::Lost;
+use crate::traffic::outcome::Outcome;
+use crate::traffic::outcome::Report;
+
+/// How soon a caller may come back that met no usable server here.
+const ELSEWHERE: Duration = Duration::from_millis(300);
+/// The part of the allowed excess over a cold server's rate that is used; the rest is for what
+/// arrives bunched.
+const COLD_PART: f64 = 0.6;
+/// How long a server is taken for cold after its zone was emptied, unless its heartbeat says more:
+/// one heartbeat, and some.
+const AFTER_EVACUATION: Duration = Duration::from_millis(1_500);
+
+/// Serves jobs at the backend server beside the node.
+pub(in crate::traffic) struct Egress {
+    board: Arc<Board>,
+    metrics: Arc<Metrics>,
+    service: ServiceName,
+    zone: ZoneName,
+    bounds: TimeBounds,
+    link: ServerLink,
+    turns: Rc<Turns>,
+    keys: RefCell<KeyCounter>,
+    slowness: Cell<u16>,
+    evacuated: Cell<bool>,
+    life: RefCell<Option<ServerLife>>,
+    running: Cell<usize>,
+    closed: Cell<bool>,
+}
+
+/// Counts a job for as long as it is here.
+struct Presence<'a>(&'a Cell<usize>);
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Egress {
+    pub(in crate::traffic) fn new(
+        board: Arc<Board>,
+        metrics: Arc<Metrics>,
+        service: ServiceName,
+        zone: ZoneName,
+        bounds: TimeBounds,
+    ) -> Rc<Self> {
+        let egress = Rc::new(Self {
+            board,
+            metrics,
+            service,
+            zone,
+            bounds,
+            link: ServerLink::new(),
+            turns: Rc::default(),
+            keys: RefCell::default(),
+            slowness: Cell::new(100),
+            evacuated: Cell::default(),
+            life: RefCell::default(),
+            running: Cell::default(),
+            closed: Cell::default(),
+        });
+        tokio::task::spawn_local(Rc::clone(&egress.turns).watch());
+        egress
+    }
+
+    /// Serves a job. A dropped call takes the job back, also from the server.
+    pub(in crate::traffic) async fn serve(&self, job: &Job) -> Report {
+        self.running.set(self.running.get() + 1);
+        let _presence = Presence(&self.running);
+        let outcome = self.run(job).await;
+        self.note(job, &outcome);
+        Report {
+            outcome,
+            load: Some(self.load()),
+        }
+    }
+
+    /// Returns how many jobs are here.
+    pub(in crate::traffic) fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Takes no more jobs of other nodes.
+    pub(in crate::traffic) fn close(&self) {
+        self.closed.set(true);
+    }
+
+    pub(in crate::traffic) fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
+    /// Counts for the control thread.
+    pub(in crate::traffic) fn report(&self) -> TrafficReport {
+        let view = self.board.view();
+        self.refresh(&view);
+        let now = clock::now();
+        let serving = view.server.as_ref().map(|server| server.serving.as_slice());
+        let held: Vec<KeyRange> =
+            serving.unwrap_or_default().iter().map(|(held, _)| held.keys).collect();
+        self.metrics.set_opened(self.link.opened());
+        TrafficReport {
+            load: self.load(),
+            key_loads: match held.is_empty() {
+                true => Vec::new(),
+                false => self.keys.borrow_mut().loads(now, &held),
+            },
+            server_gone: self.link.refused_at().is_some(),
+        }
+    }
+
+    async fn run(&self, job: &Job) -> Outcome {
+        let view = self.board.view();
+        self.refresh(&view);
+        if let Err(reason) = self.usable(&view, job) {
+            return Outcome::NotRun(reason, ELSEWHERE);
+        }
+        if let Some(key) = job.key {
+            self.keys.borrow_mut().count(key);
+        }
+        let mut slot = match self.turns.take(job).await {
+            Ok(slot) => slot,
+            Err((reason, back)) => return Outcome::NotRun(reason, back),
+        };
+        // While it waited, the server may have announced that it leaves, or lost the key.
+        let view = self.board.view();
+        let server = match self.usable(&view, job) {
+            Ok(server) => server,
+            Err(reason) => return Outcome::NotRun(reason, ELSEWHERE),
+        };
+        let sent = clock::now();
+        let (outcome, told) = self.link.send(server.address, &server.life.id, job).await;
+        if let Some(slowness) = told.slowness {
+            self.slowness.set(u16::try_from(slowness).unwrap_or(u16::MAX));
+        }
+        if let Outcome::Answered(_) = &outcome {
+            slot.answered(&job.route, clock::now().since(sent));
+        }
+        outcome
+    }
+
+    /// Returns the server if it may get a job now.
+    fn usable<'a>(&self, view: &'a NodeView, job: &Job) -> Result<&'a ServerView, NotRun> {
+        let server = view.server.as_ref().ok_or(NotRun::NoServer)?;
+        if job.service != self.service {
+            return Err(NotRun::NoServer);
+        }
+        if server.draining || view.intent.evacuated.contains(&self.zone) {
+            return Err(NotRun::Draining);
+        }
+        let keyed = view.intent.config.as_ref().and_then(|config| config.services.get(&self.service));
+        match job.key {
+            Some(key) if keyed.is_some_and(|service| service.keyed) => {
+                let holds = server.holds(clock::now(), key);
+                holds.then_some(server).ok_or(NotRun::NotOwner)
+            }
+            _ => Ok(server),
+        }
+    }
+
+    /// Tells admission what is known of the server.
+    fn refresh(&self, view: &NodeView) {
+        let Some(server) = &view.server else {
+            return;
+        };
+        let now = clock::now();
+        let evacuated = view.intent.evacuated.contains(&self.zone);
+        let returned = self.evacuated.replace(evacuated) && !evacuated;
+        let reborn = self.life.replace(Some(server.life.clone())) != Some(server.life.clone());
+        let config = view.intent.config.as_ref();
+        let rate = config.and_then(|config| config.services.get(&self.service)?.cold_rate);
+        // The bound holds for any second, so the rate itself may be exceeded a little.
+        let rate = rate.map(|rate| {
+            let excess = rate * (self.bounds.cold_factor - 1.0) + self.bounds.cold_slack;
+            rate + excess * COLD_PART
+        });
+        self.turns.update(|admission| {
+            admission.set_slots(server.slots);
+            let cold = admission.cold();
+            cold.set_rate(rate);
+            if reborn {
+                cold.set_cold(server.cold_until);
+            } else if returned {
+                cold.set_cold(server.cold_until.max(now + AFTER_EVACUATION));
+            } else if server.cold_until > now {
+                cold.set_cold(server.cold_until);
+            }
+        });
+    }
+
+    fn load(&self) -> NodeLoad {
+        let (running, waiting) = self.turns.busy();
+        let view = self.board.view();
+        let slots = view.server.as_ref().map_or(0, |server| server.slots);
+        NodeLoad {
+            busy: u16::try_from(running + waiting).unwrap_or(u16::MAX),
+            limit: u16::try_from(slots).unwrap_or(u16::MAX),
+            slowness: self.slowness.get(),
+        }
+    }
+
+    fn note(&self, job: &Job, outcome: &Outcome) {
+        let (running, waiting) = self.turns.busy();
+        match outcome {
+            Outcome::Answered(_) => self.metrics.served(),
+            Outcome::NotRun(reason, back) => {
+                self.metrics.not_run(*reason);
+                let left = job.deadline.since(clock::now()).as_millis() as u64;
+                log::info!(
+                    event = "egress_not_run", id = job.name(), reason = reason.name(),
+                    route = job.route.as_str(), running = running, waiting = waiting,
+                    back_ms = back.as_millis() as u64, left_ms = left; ""
+                );
+            }
+            Outcome::Lost(lost) => {
+                self.metrics.lost(lost.name());
+                let left = job.deadline.since(clock::now()).as_millis() as u64;
+                log::info!(
+                    event = "egress_lost", id = job.name(), reason = lost.name(),
+                    route = job.route.as_str(), running = running, left_ms = left,
+                    repeatable = job.kind.is_repeatable(); ""
+                );
+            }
+        }
+    }
+}
+
+impl Lost {
+    /// Tells whether the time of the job is over.
+    pub(in crate::traffic) fn is_timeout(self) -> bool {
+        self == Self::TimedOut
+    }
+}
--- /dev/null
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -0,0 +1,72 @@
+//! Sending jobs to other nodes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::Response;
+use quetzalrack_mesh::traffic::NotRun;
+
+use super::hop_answer;
+use super::hop_request;
+use crate::clock;
+use crate::traffic::job::Job;
+use crate::traffic::outcome::Lost;
+use crate::traffic::outcome::Outcome;
+use crate::traffic::outcome::Report;
+use crate::traffic::wire::ExchangeError;
+use crate::traffic::wire::Pool;
+use crate::traffic::wire::PoolLimits;
+
+/// Connections between nodes: a host in reach answers within a few milliseconds, and one that does
+/// not should cost a request little of its time. Nodes keep idle ones for longer than this.
+const LIMITS: PoolLimits = PoolLimits {
+    dial: Duration::from_millis(120),
+    idle: Duration::from_secs(20),
+    kept: 16,
+};
+/// How much longer than the job's own time its answer is waited for: the other node gives its own
+/// answer at the end of that time, and it needs the way back.
+const WAY_BACK: Duration = Duration::from_millis(20);
+
+/// Sends jobs to other nodes.
+#[derive(Debug)]
+pub(in crate::traffic) struct HopClient {
+    pool: Rc<Pool>,
+}
+
+impl HopClient {
+    pub(in crate::traffic) fn new() -> Self {
+        Self {
+            pool: Pool::new(LIMITS),
+        }
+    }
+
+    /// Sends a job to the node at `address` and returns what became of it there.
+    pub(in crate::traffic) async fn send(&self, address: SocketAddr, job: &Job) -> Report {
+        let now = clock::now();
+        let unloaded = |outcome| Report {
+            outcome,
+            load: None,
+        };
+        let Some(request) = hop_request::write(now, job) else {
+            return unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO));
+        };
+        let patience = job.deadline.since(now) + WAY_BACK;
+        let exchange = self.pool.exchange(address, request, LIMITS.idle, |answer: &Response<_>| {
+            !answer.headers().contains_key(http::header::CONNECTION)
+        });
+        match tokio::time::timeout(patience, exchange).await {
+            Ok(Ok(answer)) => hop_answer::read(answer)
+                .unwrap_or_else(|| unloaded(Outcome::Lost(Lost::Foreign))),
+            Ok(Err(ExchangeError::Dial(_))) => {
+                unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO))
+            }
+            Ok(Err(ExchangeError::Broken(_))) => {
+                self.pool.forget(address);
+                unloaded(Outcome::Lost(Lost::Broken))
+            }
+            Err(_) => unloaded(Outcome::Lost(Lost::TimedOut)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -0,0 +1,109 @@
+//! Taking jobs from other nodes.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use quetzalrack_mesh::traffic::NotRun;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use super::INTENT_PATH;
+use super::hop_answer;
+use super::hop_request;
+use crate::clock;
+use crate::shared::Board;
+use crate::traffic::egress::Egress;
+use crate::traffic::outcome::Outcome;
+use crate::traffic::outcome::Report;
+
+/// How soon a node asks again that was refused because this one is shutting down.
+const AFTER_SHUTDOWN: Duration = Duration::from_millis(500);
+/// How long to wait after a failed accept: the process has run out of descriptors, and a moment
+/// later some are free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves other nodes.
+#[derive(Clone)]
+pub(in crate::traffic) struct HopServer {
+    pub(in crate::traffic) egress: Rc<Egress>,
+    pub(in crate::traffic) board: Arc<Board>,
+}
+
+impl HopServer {
+    /// Accepts connections until the process ends.
+    pub(in crate::traffic) async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(self.clone().serve(stream));
+                }
+                Err(error) => {
+                    log::warn!(event = "accept_failed", port = "nodes"; "{error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        // Latency only; a socket that refuses it works all the same.
+        stream.set_nodelay(true).ok();
+        let service = service_fn(move |request| self.clone().answer(request));
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        // A broken connection has no one to tell; its jobs were cancelled with it.
+        connection.await.ok();
+    }
+
+    async fn answer(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        if request.uri().path() == INTENT_PATH {
+            return Ok(self.intent());
+        }
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return Ok(malformed());
+        };
+        let Some(job) = hop_request::read(clock::now(), parts, body.to_bytes()) else {
+            return Ok(malformed());
+        };
+        let report = match self.board.is_leaving() && self.egress.is_closed() {
+            true => Report {
+                outcome: Outcome::NotRun(NotRun::NodeAway, AFTER_SHUTDOWN),
+                load: None,
+            },
+            false => self.egress.serve(&job).await,
+        };
+        Ok(hop_answer::write(report))
+    }
+
+    fn intent(&self) -> Response<Full<Bytes>> {
+        let view = self.board.view();
+        match postcard::to_allocvec(view.intent.as_ref()) {
+            Ok(bytes) => Response::new(Full::new(bytes.into())),
+            Err(error) => {
+                log::error!(event = "intent_not_written"; "{error}");
+                malformed()
+            }
+        }
+    }
+}
+
+fn malformed() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
--- /dev/null
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -0,0 +1,96 @@
+//! The port for clients.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::header::CONNECTION;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::Ingress;
+use crate::shared::Board;
+use crate::traffic::wire::WatchedStream;
+
+/// The smallest buffer that the HTTP library takes for a header section.
+const SMALLEST_BUFFER: usize = 8 * 1024;
+/// How long to wait after a failed accept: the process has run out of descriptors, and a moment
+/// later some are free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves clients.
+#[derive(Clone)]
+pub(in crate::traffic) struct ClientPort {
+    pub(in crate::traffic) ingress: Rc<Ingress>,
+    pub(in crate::traffic) board: Arc<Board>,
+    /// Turns true when idle connections are to be closed.
+    pub(in crate::traffic) closing: watch::Receiver<bool>,
+}
+
+impl ClientPort {
+    /// Accepts connections until the process ends.
+    pub(in crate::traffic) async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(self.clone().serve(stream));
+                }
+                Err(error) => {
+                    log::warn!(event = "accept_failed", port = "clients"; "{error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        // Latency only; a socket that refuses it works all the same.
+        stream.set_nodelay(true).ok();
+        let config = self.board.view().intent.config.clone();
+        let limits = config.map(|config| config.limits).unwrap_or_default();
+        let (stream, departure) = WatchedStream::open(stream);
+        let (port, mut closing) = (self.clone(), self.closing.clone());
+        let service = service_fn(move |request| port.clone().answer(request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_time.max(limits.header_time))
+            .max_buf_size(limits.header_bytes.max(SMALLEST_BUFFER))
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            // A broken connection has no one to tell.
+            _ = connection.as_mut() => {}
+            () = departure.wait() => {}
+            _ = closing.wait_for(|closing| *closing) => {
+                connection.as_mut().graceful_shutdown();
+                tokio::select! {
+                    _ = connection.as_mut() => {}
+                    () = departure.wait() => {}
+                }
+            }
+        }
+    }
+
+    async fn answer(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let mut answer = self.ingress.serve(request).await.map(Full::new);
+        if self.board.is_leaving() {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -0,0 +1,343 @@
+//! Placing requests, and trying again.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::ids::RouteName;
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::model::HostSettings;
+use quetzalrack_mesh::model::Route;
+use quetzalrack_mesh::routing::WeightWheel;
+use quetzalrack_mesh::traffic::NotRun;
+use quetzalrack_mesh::traffic::choice::Chooser;
+use quetzalrack_mesh::traffic::retry::RetryBudget;
+
+use super::answer_client::not_run;
+use super::answer_client::plain;
+use super::answer_client::strip;
+use super::intake;
+use super::intake::Intake;
+use super::placing;
+use super::placing::Place;
+use crate::clock;
+use crate::metrics::Metrics;
+use crate::shared::Board;
+use crate::traffic::egress::Egress;
+use crate::traffic::hop::HopClient;
+use crate::traffic::job::Job;
+use crate::traffic::outcome::Lost;
+use crate::traffic::outcome::Outcome;
+use crate::traffic::outcome::Report;
+
+/// How many nodes are asked for one job: each refusal costs a way to and fro, and after three the
+/// service is full everywhere.
+const MOST_NODES: usize = 4;
+/// How long a key without an owner is waited for: keys that move have a new owner within about a
+/// second, and the wait costs the caller less than coming again.
+const OWNER_WAIT: Duration = Duration::from_millis(350);
+/// How long after a look at the table the next one follows while a key has no owner.
+const OWNER_LOOK: Duration = Duration::from_millis(40);
+/// When to come back if no server of the service is usable.
+const NOWHERE: Duration = Duration::from_millis(400);
+/// The time that an attempt needs at least to be worth making.
+const WORTHWHILE: Duration = Duration::from_millis(20);
+
+/// Places the requests that begin on this host.
+pub(in crate::traffic) struct Ingress {
+    me: NodeName,
+    settings: HostSettings,
+    board: Arc<Board>,
+    metrics: Arc<Metrics>,
+    egress: Rc<Egress>,
+    hops: HopClient,
+    chooser: RefCell<Chooser>,
+    wheels: RefCell<HashMap<RouteName, WeightWheel>>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    running: Cell<usize>,
+}
+
+struct Presence<'a>(&'a Cell<usize>);
+
+impl Drop for Presence<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Follows the attempts of one request.
+struct Attempts {
+    tried: Vec<NodeName>,
+    /// How many reached a backend server.
+    sent: u32,
+    /// Whether one of them may have run.
+    lost: Option<Lost>,
+    /// A failure that a server answered.
+    failure: Option<Response<Bytes>>,
+    /// The last refusal.
+    refusal: (NotRun, Duration),
+    owner_until: Moment,
+}
+
+impl Ingress {
+    pub(in crate::traffic) fn new(
+        settings: HostSettings,
+        board: Arc<Board>,
+        metrics: Arc<Metrics>,
+        egress: Rc<Egress>,
+        seed: u64,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            me: settings.node.clone(),
+            chooser: RefCell::new(Chooser::new(settings.zone.clone(), seed)),
+            settings,
+            board,
+            metrics,
+            egress,
+            hops: HopClient::new(),
+            wheels: RefCell::default(),
+            budgets: RefCell::default(),
+            running: Cell::default(),
+        })
+    }
+
+    /// Returns how many requests are being worked on.
+    pub(in crate::traffic) fn running(&self) -> usize {
+        self.running.get()
+    }
+
+    /// Serves one request of a client.
+    pub(in crate::traffic) async fn serve(&self, request: Request<Incoming>) -> Response<Bytes> {
+        let arrived = clock::now();
+        self.running.set(self.running.get() + 1);
+        let _presence = Presence(&self.running);
+        let (parts, body) = request.into_parts();
+        let view = self.board.view();
+        let route = match intake::find_route(&view, &parts) {
+            Ok(route) => route,
+            Err(answer) => return answer,
+        };
+        let Some(config) = view.intent.config.clone() else {
+            return not_run(NOWHERE);
+        };
+        let body = match intake::read_body(body, &config).await {
+            Ok(body) => body,
+            Err(answer) => return answer,
+        };
+        let service = self.service(&route);
+        let origin = self.settings.service.clone();
+        let intake = intake::make(arrived, parts, body, route, service, origin);
+        self.budget(&intake.job.service, RetryBudget::count);
+        let mut answer = self.place(&intake).await;
+        let status = answer.status().as_u16();
+        self.metrics.answered(intake.route.name.as_str(), status, clock::now().since(arrived));
+        strip(answer.headers_mut());
+        answer
+    }
+
+    fn service(&self, route: &Route) -> ServiceName {
+        let mut wheels = self.wheels.borrow_mut();
+        let wheel = wheels.entry(route.name.clone()).or_default();
+        let place = match route.services.len() {
+            1 => 0,
+            _ => wheel.turn(&route.services),
+        };
+        // A route names one service at least, and the wheel returns a place among them.
+        let part = route.services.get(place).or_else(|| route.services.first());
+        part.map_or_else(|| self.settings.service.clone(), |part| part.service.clone())
+    }
+
+    fn budget<F, T>(&self, service: &ServiceName, use_it: F) -> T
+    where
+        F: FnOnce(&mut RetryBudget, Moment) -> T,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let bounds = &self.settings.bounds;
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            RetryBudget::new(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
+        });
+        use_it(budget, clock::now())
+    }
+
+    async fn place(&self, intake: &Intake) -> Response<Bytes> {
+        let job = &intake.job;
+        let now = clock::now();
+        let mut attempts = Attempts {
+            tried: Vec::new(),
+            sent: 0,
+            lost: None,
+            failure: None,
+            refusal: (NotRun::NoServer, NOWHERE),
+            owner_until: now + OWNER_WAIT.min(job.deadline.since(now) / 3),
+        };
+        loop {
+            let now = clock::now();
+            if intake.due.since(now) < WORTHWHILE {
+                break;
+            }
+            let view = self.board.view();
+            let node = match placing::next(now, &view, &self.chooser, job, &attempts.tried) {
+                Place::Node(node) => node,
+                Place::NoOwner => {
+                    attempts.refusal = (NotRun::NotOwner, NOWHERE);
+                    if self.wait_for_owner(&attempts).await {
+                        continue;
+                    }
+                    break;
+                }
+                Place::Nowhere => break,
+            };
+            let report = self.attempt(job, &node).await;
+            if !self.go_on(intake, &mut attempts, node, report).await {
+                break;
+            }
+        }
+        self.conclude(intake, attempts)
+    }
+
+    /// Waits a little for a key's next owner; tells whether it is worth looking again.
+    async fn wait_for_owner(&self, attempts: &Attempts) -> bool {
+        if clock::now() >= attempts.owner_until {
+            return false;
+        }
+        // Either the table changes, or the same look is repeated a little later.
+        tokio::time::timeout(OWNER_LOOK, self.board.changed()).await.ok();
+        true
+    }
+
+    async fn attempt(&self, job: &Job, node: &NodeName) -> Report {
+        if *node == self.me {
+            return self.egress.serve(job).await;
+        }
+        let view = self.board.view();
+        let Some(entry) = view.directory.members.get(node) else {
+            return Report {
+                outcome: Outcome::NotRun(NotRun::NodeAway, NOWHERE),
+                load: None,
+            };
+        };
+        self.chooser.borrow_mut().sent(node);
+        let sending = self.hops.send(entry.member.traffic, job);
+        let report = tokio::select! {
+            report = sending => report,
+            () = placing::silence(&self.board, node), if entry.heard => Report {
+                outcome: Outcome::Lost(Lost::Broken),
+                load: None,
+            },
+        };
+        let now = clock::now();
+        let mut chooser = self.chooser.borrow_mut();
+        let failed = match &report.outcome {
+            Outcome::Answered(answer) => answer.status().is_server_error(),
+            Outcome::NotRun(reason, _) => *reason == NotRun::ServerRefused,
+            Outcome::Lost(lost) => !lost.is_timeout(),
+        };
+        chooser.ended(now, node, report.load, failed);
+        if report.load.is_none() {
+            chooser.unreachable(now, node);
+        }
+        report
+    }
+
+    /// Learns from an attempt; tells whether another one is to follow.
+    async fn go_on(
+        &self,
+        intake: &Intake,
+        attempts: &mut Attempts,
+        node: NodeName,
+        report: Report,
+    ) -> bool {
+        let job = &intake.job;
+        let repeatable = job.kind.is_repeatable();
+        match report.outcome {
+            Outcome::Answered(answer) => {
+                attempts.sent += 1;
+                let failed = answer.status().is_server_error();
+                attempts.failure = Some(answer);
+                failed && repeatable && self.try_again(intake, attempts, node, "server_failed")
+            }
+            Outcome::Lost(lost) => {
+                attempts.sent += 1;
+                attempts.lost = Some(lost);
+                repeatable && !lost.is_timeout() && self.try_again(intake, attempts, node, "lost")
+            }
+            Outcome::NotRun(reason @ NotRun::ServerRefused, back) => {
+                attempts.sent += 1;
+                attempts.refusal = (reason, back);
+                self.try_again(intake, attempts, node, "server_refused")
+            }
+            Outcome::NotRun(reason, back) => {
+                attempts.refusal = (reason, back);
+                if job.key.is_some() && reason != NotRun::Full && reason != NotRun::Expired {
+                    // The table is behind; the owner of the key is known soon.
+                    return self.wait_for_owner(attempts).await;
+                }
+                attempts.tried.push(node);
+                reason != NotRun::Expired && attempts.tried.len() < MOST_NODES
+            }
+        }
+    }
+
+    /// Takes a second attempt out of the budget, if the route, the time and the budget allow one.
+    fn try_again(
+        &self,
+        intake: &Intake,
+        attempts: &mut Attempts,
+        node: NodeName,
+        why: &str,
+    ) -> bool {
+        let in_time = intake.due.since(clock::now()) >= WORTHWHILE;
+        let allowed = attempts.sent < intake.route.attempts && in_time;
+        if !allowed || !self.budget(&intake.job.service, RetryBudget::take) {
+            return false;
+        }
+        self.metrics.retried(why);
+        log::info!(
+            event = "retry", id = intake.job.name(), why = why, node = node.as_str(),
+            sent = attempts.sent, left_ms = intake.due.since(clock::now()).as_millis() as u64; ""
+        );
+        attempts.tried.push(node);
+        true
+    }
+
+    /// Gives the final answer, at once.
+    fn conclude(&self, intake: &Intake, attempts: Attempts) -> Response<Bytes> {
+        if let Some(answer) = attempts.failure {
+            if !answer.status().is_success() {
+                self.note(intake, "server_failed", answer.status(), attempts.sent);
+            }
+            return answer;
+        }
+        let (reason, back) = attempts.refusal;
+        // Only a request that no server can have run is refused with a promise.
+        let (why, answer) = match attempts.lost {
+            Some(lost) if lost.is_timeout() => (lost.name(), plain(StatusCode::GATEWAY_TIMEOUT)),
+            Some(lost) => (lost.name(), plain(StatusCode::BAD_GATEWAY)),
+            None => (reason.name(), not_run(back)),
+        };
+        self.note(intake, why, answer.status(), attempts.sent);
+        answer
+    }
+
+    fn note(&self, intake: &Intake, why: &str, status: StatusCode, sent: u32) {
+        let job = &intake.job;
+        let view = self.board.view();
+        log::info!(
+            event = "not_served", id = job.name(), why = why, status = status.as_u16(),
+            route = job.route.as_str(), service = job.service.as_str(), sent = sent,
+            key = job.key.map_or(-1, i64::from), left_ms = intake.due.since(clock::now()).as_millis() as u64,
+            config = view.intent.config.as_ref().map_or(0, |config| config.version),
+            epoch = view.directory.epoch.0, owners = view.directory.version; ""
+        );
+    }
+}
--- /dev/null
+++ b/crates/rack/src/traffic/ingress/mod.rs
@@ -0,0 +1,10 @@
+//! From clients on the host, and from its backend server's own calls, to the node that serves them.
+
+mod answer_client;
+mod client_port;
+mod ingress_node;
+mod intake;
+mod placing;
+
+pub(super) use client_port::ClientPort;
+pub(super) use ingress_node::Ingress;
--- /dev/null
+++ b/crates/rack/src/traffic/mod.rs
@@ -0,0 +1,13 @@
+//! Requests: from clients to the node that serves them, and from there to its backend server.
+
+mod egress;
+mod hop;
+mod ingress;
+mod job;
+mod outcome;
+mod traffic_node;
+mod wire;
+
+pub(crate) use hop::INTENT_PATH;
+pub use traffic_node::TrafficNode;
+pub use traffic_node::TrafficSettings;
--- /dev/null
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -0,0 +1,144 @@
+//! The thread that carries traffic.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::model::HostSettings;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use super::egress::Egress;
+use super::hop::HopServer;
+use super::ingress::ClientPort;
+use super::ingress::Ingress;
+use super::wire::listen;
+use crate::clock;
+use crate::metrics::Metrics;
+use crate::metrics::serve_metrics;
+use crate::shared::Board;
+
+/// How often the load is counted for the control thread, which sends it on with its beats.
+const REPORT: Duration = Duration::from_millis(200);
+/// How long clients still come after SIGTERM: the platform asks once a second and takes two misses.
+const CLIENTS_LEAVE: Duration = Duration::from_millis(2_300);
+/// How long other nodes still send jobs after that; they learn within a beat that this one leaves.
+const NODES_LEAVE: Duration = Duration::from_millis(500);
+/// How much of the time until SIGKILL is left unused.
+const SPARE: Duration = Duration::from_millis(400);
+/// How often a leaving process looks whether its work is done.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Is what the traffic thread needs.
+pub struct TrafficSettings {
+    /// The host.
+    pub host: HostSettings,
+    /// Where other nodes send jobs.
+    pub peers: SocketAddr,
+    /// Where metrics are served, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// Seeds choices.
+    pub seed: u64,
+}
+
+/// Carries traffic on the thread that runs it.
+pub struct TrafficNode {
+    settings: TrafficSettings,
+    board: Arc<Board>,
+    page: Arc<Metrics>,
+}
+
+impl TrafficNode {
+    /// Makes the traffic side of a node.
+    pub fn new(settings: TrafficSettings, board: Arc<Board>, page: Arc<Metrics>) -> Self {
+        Self {
+            settings,
+            board,
+            page,
+        }
+    }
+
+    /// Serves until the process was told to leave and its work is done.
+    pub fn run(self) -> io::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        LocalSet::new().block_on(&runtime, self.serve())
+    }
+
+    async fn serve(self) -> io::Result<()> {
+        let host = &self.settings.host;
+        let clients = listen(host.listen.clients)?;
+        let peers = listen(self.settings.peers)?;
+        if let Some(address) = self.settings.metrics {
+            match listen(address) {
+                Ok(listener) => drop(tokio::task::spawn_local(serve_metrics(
+                    listener,
+                    Arc::clone(&self.page),
+                ))),
+                // A node without its page serves all the same.
+                Err(error) => log::error!(event = "no_metrics_page"; "{error}"),
+            }
+        }
+        let egress = Egress::new(
+            Arc::clone(&self.board),
+            Arc::clone(&self.page),
+            host.service.clone(),
+            host.zone.clone(),
+            host.bounds,
+        );
+        let ingress = Ingress::new(
+            host.clone(),
+            Arc::clone(&self.board),
+            Arc::clone(&self.page),
+            Rc::clone(&egress),
+            self.settings.seed,
+        );
+        let (close, closing) = watch::channel(false);
+        let port = ClientPort {
+            ingress: Rc::clone(&ingress),
+            board: Arc::clone(&self.board),
+            closing,
+        };
+        tokio::task::spawn_local(port.run(clients));
+        let hops = HopServer {
+            egress: Rc::clone(&egress),
+            board: Arc::clone(&self.board),
+        };
+        tokio::task::spawn_local(hops.run(peers));
+        while !self.board.is_leaving() {
+            self.board.set_report(egress.report());
+            tokio::time::sleep(REPORT).await;
+        }
+        self.leave(&egress, &ingress, &close).await;
+        Ok(())
+    }
+
+    /// Finishes everything: clients go first, then other nodes, and nothing is cut.
+    async fn leave(&self, egress: &Rc<Egress>, ingress: &Rc<Ingress>, close: &watch::Sender<bool>) {
+        let since = clock::now();
+        let end = since + self.settings.host.bounds.grace.saturating_sub(SPARE);
+        wait_until(since + CLIENTS_LEAVE).await;
+        // Nobody listens if every connection has ended.
+        close.send(true).ok();
+        wait_until(since + CLIENTS_LEAVE + NODES_LEAVE).await;
+        egress.close();
+        while clock::now() < end {
+            if ingress.running() == 0 && egress.running() == 0 {
+                break;
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        // The last answers are still being written.
+        tokio::time::sleep(LOOK).await;
+        log::info!(
+            event = "traffic_ends", clients = ingress.running(), jobs = egress.running(),
+            after_ms = clock::now().since(since).as_millis() as u64; ""
+        );
+    }
+}
+
+async fn wait_until(moment: Moment) {
+    tokio::time::sleep(moment.since(clock::now())).await;
+}
