--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -8,6 +8,7 @@
 use super::Lease;
 use crate::model::FreedRange;
 use crate::model::HeldRange;
+use crate::model::KeyRange;
 use crate::model::Renewal;
 use crate::model::ServerHeartbeat;
 use crate::model::ServerId;
@@ -19,8 +20,9 @@
 const SETTLED_BEATS: u32 = 2;
 /// The shortest lease that is worth granting.
 const SHORTEST: Duration = Duration::from_millis(100);
-/// How long a released range is told to the leader; beats are lost now and then.
-const FREED_KEPT: Duration = Duration::from_secs(3);
+/// How long a released range is told to the leader, and known as told before: a server repeats it
+/// for a few heartbeats at most, and beats are lost now and then.
+const FREED_KEPT: Duration = Duration::from_secs(10);
 /// How many lives that left are remembered, against heartbeats that come after them.
 const LEFT_KEPT: usize = 8;
 /// How long a life must be silent until another with an earlier birth counts as its successor: the
@@ -51,8 +53,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Offer {
     held: HeldRange,
-    /// The heartbeat that was answered.
-    sequence: u64,
+    /// The heartbeat whose answer offered it first.
+    first: u64,
     until: Moment,
     /// Whether the newest renewal granted it too; if not, the server is to release it.
     wanted: bool,
@@ -176,12 +178,17 @@
         current.at = now;
         current.cold_until = now + heartbeat.cold;
         current.freed.retain(|(at, _)| now.since(*at) < FREED_KEPT);
-        current.freed.extend(heartbeat.freed.iter().map(|freed| (now, freed.clone())));
-        // A range of an earlier answer that this heartbeat does not list was released, or never
-        // taken; the answer to come is the only one that can still grant it.
+        // A release is repeated until a heartbeat is acknowledged; what was told before may concern
+        // a grant of the range before this one.
+        let known = |freed: &&FreedRange| !current.freed.iter().any(|(_, known)| known == *freed);
+        let fresh: Vec<FreedRange> = heartbeat.freed.iter().filter(known).cloned().collect();
+        current.freed.extend(fresh.iter().map(|freed| (now, freed.clone())));
+        // Only the server's word that it has released a range ends an offer early. That a heartbeat
+        // does not list the range says nothing: it may have been sent before the answer came.
+        let news: Vec<KeyRange> = fresh.iter().map(|freed| freed.keys).collect();
         current.offers = std::mem::take(&mut current.offers)
             .into_iter()
-            .flat_map(|offer| offer.still_held(&heartbeat))
+            .flat_map(|offer| offer.without(&heartbeat, &news))
             .collect();
         current.newest = heartbeat;
     }
@@ -200,10 +207,12 @@
             offer.wanted = false;
         }
         for range in &lease.assignment.ranges {
+            let earlier = current.offers.iter().find(|offer| offer.held == range.held);
+            let first = earlier.map_or(sequence, |earlier| earlier.first);
             current.offers.retain(|offer| offer.held != range.held);
             current.offers.push(Offer {
                 held: range.held,
-                sequence,
+                first,
                 until: lease.until,
                 wanted: true,
             });
@@ -216,17 +225,21 @@
 }
 
 impl Offer {
-    /// Returns what is left of the offer after a heartbeat that was sent later.
-    fn still_held(self, heartbeat: &ServerHeartbeat) -> Vec<Self> {
-        if self.sequence >= heartbeat.sequence {
+    /// Returns what is left of the offer after releases that a later heartbeat tells.
+    fn without(self, heartbeat: &ServerHeartbeat, freed: &[KeyRange]) -> Vec<Self> {
+        if self.first >= heartbeat.sequence {
             return vec![self];
         }
-        let listed = heartbeat.holds.iter().filter_map(|held| {
-            let keys = held.keys.common(&self.held.keys)?;
-            let held = HeldRange { keys, ..*held };
-            Some(Self { held, ..self })
+        let mut parts = vec![self.held.keys];
+        for keys in freed {
+            let left = parts.iter().flat_map(|part| part.without(keys));
+            parts = left.flatten().collect();
+        }
+        let rest = parts.into_iter().map(|keys| Self {
+            held: HeldRange { keys, ..self.held },
+            ..self
         });
-        listed.collect()
+        rest.collect()
     }
 }
 
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -201,10 +201,14 @@
                 continue;
             };
             let held = beat.holding.iter().any(|held| held.keys.common(&row.keys).is_some());
-            let reborn = server.is_some_and(|server| server.life != tenure.server);
+            let life = tenure.server.as_ref();
+            let reborn = server.is_some_and(|server| life.is_some_and(|life| *life != server.life));
             match &row.state {
                 // One host runs one life of its server, so the earlier one is gone.
                 _ if reborn => row.state = RowState::free(),
+                // A restarted node that has not heard its server yet reports nothing held, and its
+                // server goes on holding what the node's earlier life granted.
+                _ if !beat.known => {}
                 RowState::Held(tenure) if server.is_none_or(|server| server.silent) => {
                     row.state = RowState::Leaving {
                         tenure: tenure.clone(),
@@ -251,11 +255,13 @@
         let Some(takeover) = &self.takeover else {
             return;
         };
+        // Without a configuration it is not known which services are divided by key.
+        let known = self.intent.config.is_some();
+        let over = known && takeover.is_over(now, &self.peers, &self.times);
         for (service, ledger) in &mut self.ledgers {
-            takeover.adopt(now, &self.me, &self.peers, &self.times, ledger, service);
+            takeover.adopt(now, &self.me, &self.peers, &self.times, over, ledger, service);
         }
-        // Without a configuration it is not known which services are divided by key.
-        if self.intent.config.is_none() || !takeover.is_over(now, &self.peers, &self.times) {
+        if !over {
             return;
         }
         for ledger in self.ledgers.values_mut() {
@@ -288,7 +294,9 @@
     fn assignment(&self, node: &NodeName) -> Option<Assignment> {
         self.intent.config.as_ref()?;
         let peer = self.peers.get(node)?;
-        let server = peer.member.server.as_ref().filter(|server| server.is_grantable())?;
+        // A server that has fallen silent is told too: only an order that leaves a range out stops
+        // its node from granting it when the server speaks again.
+        let server = peer.member.server.as_ref().filter(|server| server.settled)?;
         let mut ranges = Vec::new();
         if let Some(ledger) = self.ledgers.get(&peer.member.service) {
             for row in ledger.rows() {
--- a/crates/mesh/src/ownership/leader/moves.rs
+++ b/crates/mesh/src/ownership/leader/moves.rs
@@ -162,7 +162,7 @@
         self.fence = self.fence.next();
         let tenure = Tenure {
             node: node.clone(),
-            server,
+            server: Some(server),
             fence: self.fence,
             handover,
             until: now + LeaseTimes::waited(self.authority.left(now, &self.times)),
--- a/crates/mesh/src/ownership/leader/peer.rs
+++ b/crates/mesh/src/ownership/leader/peer.rs
@@ -31,7 +31,8 @@
     pub(super) vouched: Option<Moment>,
     /// Before this moment its lease has surely not ended; none if it has none from before.
     pub(super) lease_end: Option<Moment>,
-    pub(super) seasoned: bool,
+    /// Whether all that its backend server may hold is known.
+    pub(super) known: bool,
     pub(super) holding: Vec<HeldRange>,
     pub(super) load: NodeLoad,
     pub(super) key_loads: Vec<KeyLoad>,
@@ -52,7 +53,7 @@
             applied: None,
             vouched: None,
             lease_end: None,
-            seasoned: false,
+            known: false,
             holding: Vec::new(),
             load: NodeLoad::default(),
             key_loads: Vec::new(),
@@ -77,7 +78,7 @@
         }
         let left = Duration::from_millis(u64::from(beat.left));
         self.lease_end = self.applied.filter(|_| beat.left > 0).map(|stamp| stamp + left);
-        self.seasoned = beat.seasoned;
+        self.known = beat.known;
         self.holding.clone_from(&beat.holding);
         self.load = beat.load;
         if !beat.key_loads.is_empty() {
@@ -103,9 +104,8 @@
         self.heard_at.unwrap_or(self.known_at)
     }
 
-    /// Tells whether everything that its backend server holds is known.
+    /// Tells whether everything that its backend server holds is known, from its own beats.
     pub(super) fn is_accounted(&self) -> bool {
-        let settled = self.member.server.as_ref().is_some_and(|server| server.is_grantable());
-        self.heard_at.is_some() && (settled || (self.seasoned && self.holding.is_empty()))
+        self.heard_at.is_some() && self.known
     }
 }
--- a/crates/mesh/src/ownership/leader/record_keeping.rs
+++ b/crates/mesh/src/ownership/leader/record_keeping.rs
@@ -28,13 +28,19 @@
     written: Moment,
     /// The record of a write whose fate is not known yet.
     pending: Option<LeaderRecord>,
-    /// When the call in flight was sent.
-    calling: Option<Moment>,
+    /// When the read in flight was sent.
+    reading: Option<Moment>,
+    /// When the write in flight was sent, and where it wants the topic to end.
+    writing: Option<(Moment, u64)>,
     asked: Moment,
     called: Moment,
     wanted: Vec<Voter>,
     wanted_since: Moment,
     overtaken: bool,
+    /// Whether an earlier sending of the pending write may still land.
+    uncertain: bool,
+    /// Whether the store has been seen without the pending write, so that it must be sent again.
+    missing: bool,
 }
 
 impl RecordKeeper {
@@ -43,12 +49,15 @@
             end,
             written: now,
             pending: None,
-            calling: None,
+            reading: None,
+            writing: None,
             asked: now,
             called: Moment::default(),
             wanted: Vec::new(),
             wanted_since: now,
             overtaken: false,
+            uncertain: false,
+            missing: false,
         }
     }
 
@@ -81,7 +90,8 @@
     /// Confirms the leadership at the store, and writes the record when it has changed.
     pub(super) fn keep_record(&mut self, now: Moment, actions: &mut Vec<Action>) {
         let keeper = &mut self.keeper;
-        if keeper.calling.is_some_and(|sent| now.since(sent) < CALL) {
+        let open = |sent: Moment| now.since(sent) < CALL;
+        if keeper.reading.is_some_and(open) || keeper.writing.is_some_and(|(sent, _)| open(sent)) {
             return;
         }
         let wanted = voters(now, &self.peers);
@@ -92,7 +102,13 @@
         let changed = keeper.wanted != self.record.voters || !self.record.complete;
         let calm = now.since(keeper.wanted_since) >= CALM;
         let due = (changed && calm) || now.since(keeper.written) >= self.times.refresh;
-        if keeper.pending.is_none() && self.takeover.is_none() && due {
+        if let Some(record) = keeper.pending.clone().filter(|_| keeper.missing) {
+            // Both copies want the same place, so one of them lands at most.
+            keeper.missing = false;
+            let end = keeper.end;
+            keeper.writing = Some((now, end));
+            actions.push(Action::WriteLeader { end, record });
+        } else if keeper.pending.is_none() && self.takeover.is_none() && due {
             let record = LeaderRecord {
                 voters: match calm {
                     true => keeper.wanted.clone(),
@@ -101,13 +117,13 @@
                 complete: true,
                 ..self.record.clone()
             };
-            keeper.calling = Some(now);
+            let end = keeper.end;
+            keeper.writing = Some((now, end));
             keeper.written = now;
             keeper.pending = Some(record.clone());
-            let end = keeper.end;
             actions.push(Action::WriteLeader { end, record });
         } else if now.since(keeper.asked) >= self.times.verify {
-            keeper.calling = Some(now);
+            keeper.reading = Some(now);
             keeper.asked = now;
             actions.push(Action::ReadLeader);
         }
@@ -115,20 +131,25 @@
 
     /// Learns what became of a write.
     pub(in crate::ownership) fn wrote(&mut self, outcome: AppendOutcome) {
-        let sent = self.keeper.calling.take();
+        let writing = self.keeper.writing.take();
         match outcome {
             AppendOutcome::Appended => {
-                self.keeper.end += 1;
+                // A read may have shown this record before its own answer came.
+                if let Some((sent, end)) = writing {
+                    self.keeper.end = self.keeper.end.max(end + 1);
+                    self.authority.confirm_by_store(sent);
+                }
+                self.keeper.uncertain = false;
                 if let Some(record) = self.keeper.pending.take() {
                     self.record = record;
                 }
-                if let Some(sent) = sent {
-                    self.authority.confirm_by_store(sent);
-                }
             }
+            AppendOutcome::Refused if self.keeper.uncertain => self.keeper.missing = true,
             AppendOutcome::Refused => self.keeper.pending = None,
             // Another's claim, or an earlier write of ours that came late: the next read tells.
-            AppendOutcome::Overtaken | AppendOutcome::Unknown => {
+            AppendOutcome::Overtaken => self.keeper.asked = Moment::default(),
+            AppendOutcome::Unknown => {
+                self.keeper.uncertain = true;
                 self.keeper.asked = Moment::default();
             }
         }
@@ -136,7 +157,7 @@
 
     /// Learns what the store holds, as asked for at `asked`.
     pub(in crate::ownership) fn read(&mut self, asked: Moment, read: LeaderRead) {
-        self.keeper.calling = None;
+        self.keeper.reading = None;
         let LeaderRead::Newest(record, end) = read else {
             return;
         };
@@ -149,7 +170,9 @@
                     self.keeper.end = end;
                     self.record = record;
                     self.keeper.pending = None;
+                    self.keeper.uncertain = false;
                 }
+                self.keeper.missing = self.keeper.pending.is_some();
             }
             _ => self.keeper.overtaken = true,
         }
--- a/crates/mesh/src/ownership/leader/row.rs
+++ b/crates/mesh/src/ownership/leader/row.rs
@@ -47,7 +47,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Tenure {
     pub(super) node: NodeName,
-    pub(super) server: ServerLife,
+    /// The server's life; none if its node reports keys of a server that it can't use any more.
+    pub(super) server: Option<ServerLife>,
     pub(super) fence: FencingToken,
     /// What was handed over with the grant; it is sent until the server lists the range.
     pub(super) handover: Option<Handover>,
--- a/crates/mesh/src/ownership/leader/takeover.rs
+++ b/crates/mesh/src/ownership/leader/takeover.rs
@@ -5,6 +5,7 @@
 
 use super::ledger::Ledger;
 use super::leader_machine::Peers;
+use super::peer::Peer;
 use super::row::Row;
 use super::row::RowState;
 use super::row::Tenure;
@@ -13,6 +14,7 @@
 use crate::ownership::LeaderRecord;
 use crate::ownership::LeaseTimes;
 use crate::ownership::NodeLife;
+use crate::ownership::ServerCard;
 
 /// Follows what is known of earlier leaders' grants.
 ///
@@ -74,42 +76,50 @@
         peer.is_some_and(|peer| peer.member.life != last.leader)
     }
 
-    /// Takes over what a node reports, where it is sure that no earlier leader can have given it to
-    /// another.
+    /// Takes over what nodes report, where it is sure that no earlier leader can have given it to
+    /// another; `over` says that this holds for everything.
     pub(super) fn adopt(
         &self,
         now: Moment,
         me: &NodeLife,
         peers: &Peers,
         times: &LeaseTimes,
+        over: bool,
         ledger: &mut Ledger,
         service: &ServiceName,
     ) {
-        let gone = self.predecessor_is_gone(me, peers);
-        for (node, peer) in peers {
-            let Some(server) = peer.member.server.as_ref().filter(|server| server.is_grantable()) else {
-                continue;
+        let over = over || self.predecessor_is_gone(me, peers);
+        // The earlier leader gives a lapsed lease's keys away only after a confirmation that is
+        // younger than the lapse. Voters who followed this leader before the lease's end never
+        // gave one, and a process that is gone gives nothing away.
+        let in_time = |end: Moment| self.majority.is_some_and(|since| since < end) && now < end;
+        let mut reported: Vec<(HeldRange, &Peer)> = peers
+            .values()
+            .filter(|peer| peer.member.service == *service && peer.is_accounted())
+            .filter(|peer| over || peer.lease_end.is_some_and(in_time))
+            .flat_map(|peer| peer.holding.iter().map(move |held| (*held, peer)))
+            .collect();
+        // Were two to report a range, the one with the lower token has lost it.
+        reported.sort_by_key(|(held, _)| std::cmp::Reverse(held.fence));
+        for (held, peer) in reported {
+            let server = peer.member.server.as_ref();
+            let tenure = Tenure {
+                node: peer.member.life.node.clone(),
+                server: server.map(|server| server.life.clone()),
+                fence: held.fence,
+                handover: None,
+                until: now + LeaseTimes::waited(times.lease),
             };
-            // The earlier leader gives a lapsed lease's keys away only after a confirmation that is
-            // younger than the lapse. Voters who followed this leader before the lease's end never
-            // gave one, and a process that is gone gives nothing away.
-            let in_time = |end: Moment| self.majority.is_some_and(|since| since < end) && now < end;
-            let safe = gone || peer.lease_end.is_some_and(in_time);
-            if peer.member.service != *service || peer.heard_at.is_none() || !safe {
-                continue;
-            }
-            let until = now + LeaseTimes::waited(times.lease);
-            for held in &peer.holding {
-                let tenure = Tenure {
-                    node: node.clone(),
-                    server: server.life.clone(),
-                    fence: held.fence,
-                    handover: None,
-                    until,
-                };
-                for keys in unknown_parts(ledger, held) {
-                    ledger.set(keys, RowState::Held(tenure.clone()));
-                }
+            // A server that does not speak can't be renewed; its keys are free once it lost them.
+            let state = match server.is_some_and(ServerCard::is_grantable) {
+                true => RowState::Held(tenure),
+                false => RowState::Leaving {
+                    tenure,
+                    since: now.0,
+                },
+            };
+            for keys in unknown_parts(ledger, &held) {
+                ledger.set(keys, state.clone());
             }
         }
     }
@@ -132,8 +142,7 @@
     }
 }
 
-/// Returns the parts of a reported range of which nothing was known. A range that another node
-/// holds with a higher token is not the reporter's any more.
+/// Returns the parts of a reported range of which nothing was known.
 fn unknown_parts(ledger: &Ledger, held: &HeldRange) -> Vec<KeyRange> {
     let unknown = |row: &&Row| matches!(row.state, RowState::Unknown);
     let rows = ledger.rows().iter().filter(unknown);
--- a/crates/mesh/src/ownership/lease_times.rs
+++ b/crates/mesh/src/ownership/lease_times.rs
@@ -29,15 +29,17 @@
         Self {
             // Four heartbeats of a backend server, which come about every 0.9 s.
             lease: Duration::from_millis(3_500),
-            // Longer than the store's usual outages of 4 to 16 s.
-            storeless: Duration::from_secs(25),
+            // The store's outages last 4 to 16 s. Longer would only make keys wait longer whose
+            // leader is gone for good together with most of the nodes.
+            storeless: Duration::from_secs(16),
             // Three tries within `suspect`.
             beat: Duration::from_millis(400),
             // Leaves two thirds of a lease to find the next leader in.
             suspect: Duration::from_millis(1_200),
             // Several tries within a lease.
             verify: Duration::from_millis(800),
-            refresh: Duration::from_secs(6),
+            // Two missed ones make eight seconds; each is one call of a few dozen bytes.
+            refresh: Duration::from_secs(4),
         }
     }
 }
--- a/crates/mesh/src/ownership/message/beat.rs
+++ b/crates/mesh/src/ownership/message/beat.rs
@@ -36,9 +36,10 @@
     pub vouches: bool,
     /// How long, in milliseconds, the node's lease lasts from the sending of this.
     pub left: u32,
-    /// Whether the node's process has outlived every lease of an earlier life.
-    pub seasoned: bool,
-    /// All that its backend server may hold.
+    /// Whether `holding` is complete. A restarted process knows it only once its server has spoken
+    /// twice, or once every lease of its earlier life has ended.
+    pub known: bool,
+    /// All that its backend server may hold, as far as known.
     pub holding: Vec<HeldRange>,
     /// What its backend server has released lately.
     pub freed: Vec<FreedRange>,
--- a/crates/mesh/src/ownership/node_machine.rs
+++ b/crates/mesh/src/ownership/node_machine.rs
@@ -549,9 +549,13 @@
             }
             ServerWord::Leaves(id) => {
                 self.server.leaves(&id);
+                self.forget_lease();
                 actions.push(Action::Answer(HeartbeatAnswer::Heard));
             }
-            ServerWord::Gone => self.server_gone = true,
+            ServerWord::Gone => {
+                self.server_gone = true;
+                self.forget_lease();
+            }
         }
         let news = (self.card(now), self.server.holding(now));
         if self.told.as_ref() != Some(&news) {
@@ -560,6 +564,15 @@
         actions.push(Action::Publish);
     }
 
+    /// Grants nothing until the next order. The leader takes a node without a server at its word
+    /// and gives the server's keys away once they are released; should the server speak again, an
+    /// old lease must not bring them back.
+    fn forget_lease(&mut self) {
+        if self.server().is_none() {
+            self.lease = None;
+        }
+    }
+
     fn set_intent(&mut self, now: Moment, intent: OperatorsIntent) {
         if intent.offset <= self.intent.offset && self.intent.config.is_some() {
             return;
@@ -622,7 +635,7 @@
             // the store since, or every authority of that time has ended.
             vouches: self.read_epoch == Some(epoch) || age >= self.times.lease * 2,
             left: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
-            seasoned: age >= LeaseTimes::waited(self.times.lease),
+            known: self.server.is_settled() || age >= LeaseTimes::waited(self.times.lease),
             holding: holding.clone(),
             freed: self.server.freed(now),
             load: self.load,
--- /dev/null
+++ b/crates/mesh/tests/ownership_schedules.rs
@@ -0,0 +1,87 @@
+//! No key ever has two holders, whatever happens: random schedules of a whole fleet.
+
+use std::time::Duration;
+
+mod ownership_support;
+
+use ownership_support::Fleet;
+use ownership_support::FleetPlan;
+use ownership_support::Trouble;
+
+/// How many schedules of each kind run; `QUETZALRACK_SCHEDULES` asks for more.
+const USUAL: u64 = 40;
+
+fn plan(seed: u64, trouble: Trouble) -> FleetPlan {
+    FleetPlan {
+        seed,
+        nodes: 3 + (seed % 6) as usize,
+        trouble,
+        troubled: Duration::from_secs(40),
+        // The longest way back: a leader and most voters gone for good, noticed after two missed
+        // refreshes, and every authority without the store waited for; twice that.
+        calm: Duration::from_secs(60),
+    }
+}
+
+/// Plays schedules, and returns the mean time without an owner, in seconds of all keys.
+fn play(trouble: Trouble) -> f64 {
+    let count = std::env::var("QUETZALRACK_SCHEDULES");
+    let count = count.ok().and_then(|count| count.parse().ok()).unwrap_or(USUAL);
+    let first = std::env::var("QUETZALRACK_SEED").ok().and_then(|seed| seed.parse().ok());
+    let first: u64 = first.unwrap_or(0);
+    let mut unowned = 0.0;
+    for seed in first..first + count {
+        let mut fleet = Fleet::new(plan(seed, trouble));
+        fleet.play();
+        assert_eq!(fleet.problem, None, "{trouble:?}, seed {seed}");
+        assert!(fleet.grants > 0, "{trouble:?}, seed {seed}: nothing was ever granted");
+        let owned = fleet.lately;
+        assert!(owned >= 65_536, "{trouble:?}, seed {seed}: only {owned} keys have an owner at the end");
+        unowned += fleet.unowned as f64 / 10_000.0;
+    }
+    unowned / count as f64
+}
+
+/// Nothing happens: keys have owners within the first seconds, and keep them.
+#[test]
+fn calm() {
+    let unowned = play(Trouble::Calm);
+    assert!(unowned < 6.0, "{unowned} s without an owner");
+}
+
+/// A caller's key is served by two servers after its node's process was killed and started again:
+/// the new process reported that it knew of nothing held, which the leader took for a release.
+#[test]
+fn kills() {
+    play(Trouble::Kills);
+}
+
+/// Hosts lose power, now and then all at once, some for good; nobody is left who remembers.
+#[test]
+fn power() {
+    play(Trouble::Power);
+}
+
+/// Nodes hear only some of the others, or not the store, each in its own way.
+#[test]
+fn cuts() {
+    play(Trouble::Cuts);
+}
+
+/// The store is away, or does what it was asked and does not say so, or does it seconds later.
+#[test]
+fn store() {
+    play(Trouble::Store);
+}
+
+/// Nodes stand still with answers in their hands and go on as if no time had passed.
+#[test]
+fn freezes() {
+    play(Trouble::Freezes);
+}
+
+/// All of it at once.
+#[test]
+fn everything() {
+    play(Trouble::Everything);
+}
--- /dev/null
+++ b/crates/mesh/tests/ownership_support/fleet.rs
@@ -0,0 +1,616 @@
+//! The fleet.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::boundary::AppendOutcome;
+use quetzalrack_mesh::model::KeyRange;
+use quetzalrack_mesh::model::OperatorsIntent;
+use quetzalrack_mesh::model::RoutingConfig;
+use quetzalrack_mesh::model::ServerHeartbeat;
+use quetzalrack_mesh::model::ServiceSettings;
+use quetzalrack_mesh::ownership::Action;
+use quetzalrack_mesh::ownership::Event;
+use quetzalrack_mesh::ownership::HeartbeatAnswer;
+use quetzalrack_mesh::ownership::LeaderRead;
+use quetzalrack_mesh::ownership::LeaderRecord;
+use quetzalrack_mesh::ownership::LeaseTimes;
+use quetzalrack_mesh::ownership::NodeLife;
+use quetzalrack_mesh::ownership::NodeMachine;
+use quetzalrack_mesh::ownership::NodeProfile;
+use quetzalrack_mesh::ownership::PeerMessage;
+use quetzalrack_mesh::ownership::ServerWord;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Trouble;
+use super::fake_server::FakeServer;
+use super::fake_store::FakeStore;
+use super::tracing;
+
+/// The service that is divided by key.
+const KEYED: &str = "keyed";
+const OTHER: &str = "other";
+const HEARTBEAT: Duration = Duration::from_millis(870);
+/// The last part of a schedule, long after its last trouble.
+const LATELY: Duration = Duration::from_secs(8);
+const TICK: Duration = Duration::from_millis(100);
+
+/// Says what a schedule is like.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetPlan {
+    pub seed: u64,
+    pub nodes: usize,
+    pub trouble: Trouble,
+    /// How long troubles come.
+    pub troubled: Duration,
+    /// How long the fleet is left alone after that.
+    pub calm: Duration,
+}
+
+/// Is a whole fleet.
+pub struct Fleet {
+    plan: FleetPlan,
+    random: ChaCha8Rng,
+    now: Moment,
+    queue: BinaryHeap<Reverse<(Moment, u64, usize)>>,
+    happenings: Vec<Option<Happening>>,
+    nodes: Vec<Host>,
+    store: FakeStore,
+    store_down: bool,
+    store_cut: BTreeSet<usize>,
+    store_lossy: bool,
+    cuts: BTreeSet<(usize, usize)>,
+    highest: BTreeMap<u16, u64>,
+    /// The most keys that had an owner at once in the last seconds: a late heartbeat costs a server
+    /// its keys for a moment, so one look at the very end would tell little.
+    pub lately: u32,
+    /// Time without an owner, summed over samples, in thousandths of the keys.
+    pub unowned: u64,
+    pub grants: u64,
+    pub problem: Option<String>,
+    /// Whether each step is printed, for the cause of a failure.
+    traced: bool,
+}
+
+struct Host {
+    name: NodeName,
+    machine: Option<NodeMachine>,
+    life: u64,
+    frozen: bool,
+    held_up: Vec<Happening>,
+    server: Option<FakeServer>,
+    /// Distinguishes the timers of different server lives.
+    gone: bool,
+}
+
+#[derive(Clone, Debug)]
+enum Happening {
+    Tick(usize, u64),
+    Beat(usize, u64),
+    Datagram(usize, SocketAddr, PeerMessage),
+    Heartbeat(usize, u64),
+    Heard(usize, ServerHeartbeat),
+    Answered(usize, u64, u64, HeartbeatAnswer),
+    StoreRead(usize, u64, Moment),
+    StoreWrite(usize, u64, u64, LeaderRecord),
+    ReadDone(usize, u64, Moment, LeaderRead),
+    WriteDone(usize, u64, AppendOutcome),
+    StartNode(usize),
+    StartServer(usize),
+    Trouble,
+    Heal(Cure),
+}
+
+#[derive(Clone, Debug)]
+enum Cure {
+    Thaw(usize),
+    Link(usize, usize),
+    Store,
+    StoreFor(usize),
+    StoreAnswers,
+}
+
+impl Fleet {
+    pub fn new(plan: FleetPlan) -> Self {
+        let nodes = (0..plan.nodes).map(|place| Host {
+            name: format!("node-{place}").parse().unwrap(),
+            machine: None,
+            life: 0,
+            frozen: false,
+            held_up: Vec::new(),
+            server: None,
+            gone: false,
+        });
+        let mut fleet = Self {
+            random: ChaCha8Rng::seed_from_u64(plan.seed),
+            now: Moment(1_000_000_000),
+            queue: BinaryHeap::new(),
+            happenings: Vec::new(),
+            nodes: nodes.collect(),
+            store: FakeStore::default(),
+            store_down: false,
+            store_cut: BTreeSet::new(),
+            store_lossy: false,
+            cuts: BTreeSet::new(),
+            highest: BTreeMap::new(),
+            lately: 0,
+            unowned: 0,
+            grants: 0,
+            problem: None,
+            traced: std::env::var_os("QUETZALRACK_TRACE").is_some(),
+            plan,
+        };
+        for place in 0..plan.nodes {
+            let delay = fleet.spread(300);
+            fleet.after(delay, Happening::StartServer(place));
+            let delay = fleet.spread(300);
+            fleet.after(delay, Happening::StartNode(place));
+        }
+        if plan.trouble != Trouble::Calm {
+            let delay = Duration::from_secs(6) + fleet.spread(2_000);
+            fleet.after(delay, Happening::Trouble);
+        }
+        fleet
+    }
+
+    /// Plays the schedule.
+    pub fn play(&mut self) {
+        let end = self.now + self.plan.troubled + self.plan.calm;
+        let mut sampled = self.now;
+        while let Some(Reverse((at, _, place))) = self.queue.pop() {
+            if at > end || self.problem.is_some() {
+                break;
+            }
+            self.now = at;
+            if let Some(happening) = self.happenings[place].take() {
+                self.happen(happening);
+            }
+            if self.now.since(sampled) >= Duration::from_millis(100) {
+                sampled = self.now;
+                let owned = self.owned();
+                self.unowned += u64::from(65_536_u32.saturating_sub(owned)) * 1_000 / 65_536;
+                if end.since(self.now) < LATELY {
+                    self.lately = self.lately.max(owned);
+                }
+            }
+        }
+    }
+
+    /// Returns how many keys have an owner now.
+    pub fn owned(&mut self) -> u32 {
+        let now = self.now;
+        let mut owned = 0;
+        for host in &mut self.nodes {
+            if let Some(server) = &mut host.server {
+                server.age(now);
+                owned += server.holdings.iter().map(|holding| holding.held.keys.size()).sum::<u32>();
+            }
+        }
+        owned
+    }
+
+    fn spread(&mut self, most_ms: u64) -> Duration {
+        Duration::from_micros(self.random.random_range(0..=most_ms * 1_000))
+    }
+
+    fn after(&mut self, delay: Duration, happening: Happening) {
+        let place = self.happenings.len();
+        self.happenings.push(Some(happening));
+        self.queue.push(Reverse((self.now + delay, place as u64, place)));
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::StartNode(place) => self.start_node(place),
+            Happening::StartServer(place) => self.start_server(place),
+            Happening::Tick(place, life) => {
+                if self.step(place, life, Event::Tick, Happening::Tick(place, life)) {
+                    self.after(TICK, Happening::Tick(place, life));
+                }
+            }
+            Happening::Beat(place, life) => {
+                self.step(place, life, Event::Tick, Happening::Beat(place, life));
+            }
+            Happening::Datagram(place, from, message) => {
+                let life = self.nodes[place].life;
+                let again = Happening::Datagram(place, from, message.clone());
+                self.step(place, life, Event::Message(from, message), again);
+            }
+            Happening::Heartbeat(place, born) => self.heartbeat(place, born),
+            Happening::Heard(place, heartbeat) => {
+                let life = self.nodes[place].life;
+                let again = Happening::Heard(place, heartbeat.clone());
+                let event = Event::Server(ServerWord::Heartbeat(heartbeat));
+                self.step(place, life, event, again);
+            }
+            Happening::Answered(place, born, sequence, answer) => {
+                self.answered(place, born, sequence, &answer);
+            }
+            Happening::StoreRead(place, life, asked) => {
+                let read = match self.reaches_store(place) {
+                    true => self.store.newest(),
+                    false => LeaderRead::Unavailable,
+                };
+                let delay = self.spread(20);
+                self.after(delay, Happening::ReadDone(place, life, asked, read));
+            }
+            Happening::StoreWrite(place, life, end, record) => self.write(place, life, end, record),
+            Happening::ReadDone(place, life, asked, read) => {
+                let again = Happening::ReadDone(place, life, asked, read.clone());
+                self.step(place, life, Event::Read(asked, read), again);
+            }
+            Happening::WriteDone(place, life, outcome) => {
+                let again = Happening::WriteDone(place, life, outcome);
+                self.step(place, life, Event::Wrote(outcome), again);
+            }
+            Happening::Trouble => self.trouble(),
+            Happening::Heal(cure) => self.heal(cure),
+        }
+    }
+
+    fn write(&mut self, place: usize, life: u64, end: u64, record: LeaderRecord) {
+        if !self.reaches_store(place) {
+            let outcome = match self.random.random_bool(0.5) {
+                true => AppendOutcome::Refused,
+                false => AppendOutcome::Unknown,
+            };
+            let delay = self.spread(500);
+            self.after(delay, Happening::WriteDone(place, life, outcome));
+            return;
+        }
+        if self.store_lossy && self.random.random_bool(0.5) {
+            // Done now or seconds later, and not answered.
+            if self.random.random_bool(0.5) {
+                self.store.append(end, record);
+            } else {
+                let delay = Duration::from_secs(1) + self.spread(4_000);
+                self.after(delay, Happening::StoreWrite(place, u64::MAX, end, record));
+            }
+            let delay = Duration::from_millis(1_500);
+            self.after(delay, Happening::WriteDone(place, life, AppendOutcome::Unknown));
+            return;
+        }
+        let outcome = self.store.append(end, record);
+        let delay = self.spread(20);
+        self.after(delay, Happening::WriteDone(place, life, outcome));
+    }
+
+    fn reaches_store(&self, place: usize) -> bool {
+        !self.store_down && !self.store_cut.contains(&place)
+    }
+
+    fn start_node(&mut self, place: usize) {
+        let host = &mut self.nodes[place];
+        if host.gone || host.machine.is_some() {
+            return;
+        }
+        host.life += 1;
+        let life = host.life;
+        let profile = NodeProfile {
+            life: NodeLife {
+                node: host.name.clone(),
+                life,
+            },
+            zone: format!("zone-{}", place % 4).parse().unwrap(),
+            control: address(place),
+            traffic: address(place),
+            service: service(place).parse().unwrap(),
+            heartbeat: HEARTBEAT,
+            seed: self.random.random(),
+        };
+        let mut machine = NodeMachine::new(self.now, profile, LeaseTimes::default());
+        machine.step(self.now, Event::Intent(intent()));
+        self.nodes[place].machine = Some(machine);
+        let delay = self.spread(100);
+        self.after(delay, Happening::Tick(place, life));
+    }
+
+    fn start_server(&mut self, place: usize) {
+        let host = &mut self.nodes[place];
+        if host.gone || host.server.is_some() {
+            return;
+        }
+        let born = self.now.0 / 1_000_000;
+        host.server = Some(FakeServer::new(&format!("server-{place}"), born, service(place)));
+        let delay = self.spread(300);
+        self.after(delay, Happening::Heartbeat(place, born));
+    }
+
+    fn heartbeat(&mut self, place: usize, born: u64) {
+        let now = self.now;
+        let Some(server) = self.nodes[place].server.as_mut().filter(|server| server.life.born == born) else {
+            return;
+        };
+        let heartbeat = server.heartbeat(now);
+        let late = self.random.random_bool(0.03);
+        let delay = match late {
+            true => self.spread(2_500),
+            false => self.spread(2),
+        };
+        if self.traced {
+            let holds = tracing::ranges(&heartbeat.holds);
+            let sequence = heartbeat.sequence;
+            println!("{} server-{place} beat {sequence} heard in {delay:?} {holds}", self.now);
+        }
+        self.after(delay, Happening::Heard(place, heartbeat));
+        let next = HEARTBEAT + self.spread(60);
+        self.after(next, Happening::Heartbeat(place, born));
+    }
+
+    fn answered(&mut self, place: usize, born: u64, sequence: u64, answer: &HeartbeatAnswer) {
+        let now = self.now;
+        let work = self.spread(300);
+        let Some(server) = self.nodes[place].server.as_mut().filter(|server| server.life.born == born) else {
+            return;
+        };
+        let releasing = server.answer(now, sequence, answer, work);
+        self.check(place);
+        if releasing {
+            let heartbeat = self.nodes[place].server.as_mut().map(|server| server.heartbeat(now));
+            if let Some(heartbeat) = heartbeat {
+                let delay = Duration::from_millis(60) + self.spread(40);
+                self.after(delay, Happening::Heard(place, heartbeat));
+            }
+        }
+    }
+
+    /// Steps a node; a frozen one takes it up when it thaws. Tells whether the node still lives.
+    fn step(&mut self, place: usize, life: u64, event: Event, again: Happening) -> bool {
+        let host = &mut self.nodes[place];
+        if host.life != life || host.machine.is_none() {
+            return false;
+        }
+        if host.frozen {
+            host.held_up.push(again);
+            return false;
+        }
+        let heard = match &event {
+            Event::Server(ServerWord::Heartbeat(heartbeat)) => {
+                Some((heartbeat.life.born, heartbeat.sequence))
+            }
+            _ => None,
+        };
+        let Some(machine) = &mut host.machine else {
+            return false;
+        };
+        let actions = machine.step(self.now, event);
+        let due = machine.beat_due().since(self.now);
+        for action in actions {
+            self.act(place, life, heard, action);
+        }
+        if due < TICK {
+            self.after(due, Happening::Beat(place, life));
+        }
+        true
+    }
+
+    fn act(&mut self, place: usize, life: u64, heard: Option<(u64, u64)>, action: Action) {
+        if self.traced {
+            println!("{} node-{place}@{life} {heard:?} {}", self.now, tracing::line(&action));
+        }
+        match action {
+            Action::Send(to, message) => self.send(place, to, &message),
+            Action::ReadLeader => {
+                let delay = self.spread(20);
+                self.after(delay, Happening::StoreRead(place, life, self.now));
+            }
+            Action::WriteLeader { end, record } => {
+                let delay = self.spread(20);
+                self.after(delay, Happening::StoreWrite(place, life, end, record));
+            }
+            Action::Answer(answer) => {
+                let delay = self.spread(5);
+                if let Some((born, sequence)) = heard {
+                    self.after(delay, Happening::Answered(place, born, sequence, answer));
+                }
+            }
+            Action::Publish | Action::FetchIntent(_) | Action::Note(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: &PeerMessage) {
+        let target = usize::from(to.port() - 1);
+        if self.cuts.contains(&(from, target)) || self.random.random_bool(0.01) {
+            return;
+        }
+        let copies = if self.random.random_bool(0.02) { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = match self.random.random_bool(0.02) {
+                true => self.spread(4_000),
+                false => self.spread(3),
+            };
+            self.after(delay, Happening::Datagram(target, address(from), message.clone()));
+        }
+    }
+
+    /// Looks whether another server holds what this one has just taken, and whether tokens rise.
+    fn check(&mut self, place: usize) {
+        let now = self.now;
+        for host in &mut self.nodes {
+            if let Some(server) = &mut host.server {
+                server.age(now);
+            }
+        }
+        let Some(server) = &self.nodes[place].server else {
+            return;
+        };
+        for holding in &server.holdings {
+            for (other, host) in self.nodes.iter().enumerate().filter(|(other, _)| *other != place) {
+                let others = host.server.iter().flat_map(|server| &server.holdings);
+                for theirs in others {
+                    if let Some(keys) = theirs.held.keys.common(&holding.held.keys) {
+                        self.problem = Some(format!(
+                            "{}: node-{place} ({}) and node-{other} ({}) both hold {keys}",
+                            self.now, holding.held.fence, theirs.held.fence
+                        ));
+                    }
+                }
+            }
+        }
+        let granted: Vec<(KeyRange, u64)> = server
+            .holdings
+            .iter()
+            .map(|holding| (holding.held.keys, holding.held.fence.0))
+            .collect();
+        for (keys, fence) in granted {
+            // A sample of keys is enough: ranges have ends.
+            for key in [keys.first, keys.first + (keys.last - keys.first) / 2, keys.last] {
+                let highest = self.highest.entry(key).or_default();
+                if fence < *highest {
+                    self.problem = Some(format!("{now}: key {key} falls from {highest} to {fence}"));
+                }
+                self.grants += u64::from(fence > *highest);
+                *highest = fence.max(*highest);
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        let start = Moment(1_000_000_000);
+        if self.now.since(start) > self.plan.troubled {
+            return;
+        }
+        let kinds = [Trouble::Kills, Trouble::Power, Trouble::Cuts, Trouble::Store, Trouble::Freezes];
+        let kind = match self.plan.trouble {
+            Trouble::Everything => kinds[self.random.random_range(0..kinds.len())],
+            kind => kind,
+        };
+        // Several hosts at once, now and then all of them.
+        let most = match self.random.random_range(0..10) {
+            0 => self.nodes.len(),
+            1..=3 => self.nodes.len() / 2,
+            _ => 1,
+        };
+        for _ in 0..most.max(1) {
+            let place = self.random.random_range(0..self.nodes.len());
+            self.strike(kind, place);
+        }
+        let delay = Duration::from_millis(300) + self.spread(3_000);
+        self.after(delay, Happening::Trouble);
+    }
+
+    fn strike(&mut self, kind: Trouble, place: usize) {
+        if self.traced {
+            println!("{} {kind:?} strikes node-{place}", self.now);
+        }
+        match kind {
+            Trouble::Kills => {
+                self.nodes[place].machine = None;
+                self.nodes[place].held_up.clear();
+                let delay = Duration::from_millis(100) + self.spread(1_500);
+                self.after(delay, Happening::StartNode(place));
+            }
+            Trouble::Power => {
+                // Some servers that can hold keys are left in any case.
+                let keyed = |(place, host): (usize, &Host)| !host.gone && service(place) == KEYED;
+                let alive = self.nodes.iter().enumerate().filter(|host| keyed(*host)).count();
+                let host = &mut self.nodes[place];
+                host.machine = None;
+                host.held_up.clear();
+                host.server = None;
+                host.gone = host.gone || (alive > 2 && self.random.random_bool(0.15));
+                let delay = Duration::from_millis(300) + self.spread(5_000);
+                self.after(delay, Happening::StartServer(place));
+                let delay = Duration::from_millis(300) + self.spread(5_000);
+                self.after(delay, Happening::StartNode(place));
+            }
+            Trouble::Cuts => {
+                if self.random.random_bool(0.3) {
+                    self.store_cut.insert(place);
+                    let delay = self.spread(12_000);
+                    self.after(delay, Happening::Heal(Cure::StoreFor(place)));
+                }
+                let one_way = self.random.random_bool(0.3);
+                for other in 0..self.nodes.len() {
+                    if other == place || self.random.random_bool(0.4) {
+                        continue;
+                    }
+                    self.cuts.insert((place, other));
+                    if !one_way {
+                        self.cuts.insert((other, place));
+                    }
+                    let delay = self.spread(9_000);
+                    self.after(delay, Happening::Heal(Cure::Link(place, other)));
+                }
+            }
+            Trouble::Store => {
+                if self.random.random_bool(0.5) {
+                    self.store_down = true;
+                    let delay = self.spread(12_000);
+                    self.after(delay, Happening::Heal(Cure::Store));
+                } else {
+                    self.store_lossy = true;
+                    let delay = self.spread(6_000);
+                    self.after(delay, Happening::Heal(Cure::StoreAnswers));
+                }
+            }
+            Trouble::Freezes => {
+                if self.nodes[place].machine.is_some() {
+                    self.nodes[place].frozen = true;
+                    let delay = self.spread(6_000);
+                    self.after(delay, Happening::Heal(Cure::Thaw(place)));
+                }
+            }
+            Trouble::Calm | Trouble::Everything => {}
+        }
+    }
+
+    fn heal(&mut self, cure: Cure) {
+        match cure {
+            Cure::Thaw(place) => {
+                self.nodes[place].frozen = false;
+                for happening in std::mem::take(&mut self.nodes[place].held_up) {
+                    self.after(Duration::ZERO, happening);
+                }
+            }
+            Cure::Link(a, b) => {
+                self.cuts.remove(&(a, b));
+                self.cuts.remove(&(b, a));
+            }
+            Cure::Store => self.store_down = false,
+            Cure::StoreFor(place) => {
+                self.store_cut.remove(&place);
+            }
+            Cure::StoreAnswers => self.store_lossy = false,
+        }
+    }
+}
+
+fn address(place: usize) -> SocketAddr {
+    let port = u16::try_from(place).unwrap() + 1;
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn service(place: usize) -> &'static str {
+    if place.is_multiple_of(3) { OTHER } else { KEYED }
+}
+
+fn intent() -> OperatorsIntent {
+    let settings = |keyed| ServiceSettings {
+        health_path: "/health".to_owned(),
+        connections: 100,
+        cold_time: Duration::from_secs(3),
+        cold_rate: Some(25.0),
+        keyed,
+    };
+    let mut config = RoutingConfig {
+        version: 1,
+        ..RoutingConfig::default()
+    };
+    config.services.insert(KEYED.parse().unwrap(), settings(true));
+    config.services.insert(OTHER.parse().unwrap(), settings(false));
+    OperatorsIntent {
+        offset: 1,
+        config: Some(Arc::new(config)),
+        ..OperatorsIntent::default()
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/ownership_support/tracing.rs
@@ -0,0 +1,42 @@
+//! Short lines about what a node does, for the cause of a failure.
+
+use quetzalrack_mesh::model::HeldRange;
+use quetzalrack_mesh::ownership::Action;
+use quetzalrack_mesh::ownership::HeartbeatAnswer;
+use quetzalrack_mesh::ownership::PeerMessage;
+
+pub fn ranges(ranges: &[HeldRange]) -> String {
+    let texts = ranges.iter().map(|held| format!("{}#{}", held.keys, held.fence));
+    texts.collect::<Vec<_>>().join(" ")
+}
+
+pub fn line(action: &Action) -> String {
+    match action {
+        Action::Send(to, PeerMessage::Beat(beat)) => format!(
+            "beat {} to {to} epoch {} order {:?} left {} known {} settled {:?} holding {}",
+            beat.sequence,
+            beat.epoch,
+            beat.order,
+            beat.left,
+            beat.known,
+            beat.member.server.as_ref().map(|server| (server.settled, server.silent)),
+            ranges(&beat.holding)
+        ),
+        Action::Send(to, PeerMessage::Order(order)) => format!(
+            "order {} to {to} epoch {} stamp {} lease {} {:?}",
+            order.sequence,
+            order.epoch,
+            order.stamp,
+            order.lease,
+            order.assignment.as_ref().map(|assignment| {
+                let held: Vec<HeldRange> = assignment.ranges.iter().map(|range| range.held).collect();
+                ranges(&held)
+            })
+        ),
+        Action::Answer(HeartbeatAnswer::Renewed(renewal)) => {
+            let held: Vec<HeldRange> = renewal.ranges.iter().map(|range| range.held).collect();
+            format!("renews for {:?} {}", renewal.time, ranges(&held))
+        }
+        action => format!("{action:?}"),
+    }
+}
