--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -147,6 +147,7 @@
         let order = Order {
             epoch: self.record.epoch,
             leader: self.me.clone(),
+            life: beat.member.life.life,
             sequence: beat.sequence,
             stamp: now.0,
             lease: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
@@ -325,7 +326,10 @@
         for ledger in self.ledgers.values_mut() {
             for row in ledger.rows_mut() {
                 match &mut row.state {
-                    RowState::Held(tenure) if tenure.node == *node => tenure.until = end,
+                    // An earlier and longer lease still holds when this one is short.
+                    RowState::Held(tenure) if tenure.node == *node => {
+                        tenure.until = tenure.until.max(end);
+                    }
                     _ => {}
                 }
             }
--- a/crates/mesh/src/ownership/message/order.rs
+++ b/crates/mesh/src/ownership/message/order.rs
@@ -27,6 +27,8 @@
     pub epoch: Epoch,
     /// The leader.
     pub leader: NodeLife,
+    /// The process of the node that it answers; a later one counts its heartbeats anew.
+    pub life: u64,
     /// The heartbeat that it answers.
     pub sequence: u64,
     /// When the leader sent it, on the leader's clock.
--- a/crates/mesh/src/ownership/node_machine.rs
+++ b/crates/mesh/src/ownership/node_machine.rs
@@ -502,7 +502,9 @@
         let Some(following) = &mut self.following else {
             return;
         };
-        let known = following.record.epoch == order.epoch && following.record.leader == order.leader;
+        let known = following.record.epoch == order.epoch
+            && following.record.leader == order.leader
+            && order.life == self.profile.life.life;
         let beat = self.outstanding.iter().find(|(sequence, _)| *sequence == order.sequence);
         // An order that answers no outstanding beat is late, doubled, or meant for an earlier life.
         let Some((sequence, sent)) = beat.copied().filter(|_| known) else {
