--- a/crates/mesh/src/boundary/shared_store.rs
+++ b/crates/mesh/src/boundary/shared_store.rs
@@ -17,12 +17,7 @@
     fn newest<'a>(&'a self, topic: &'a str) -> BoxFuture<'a, ReadOutcome>;
 
     /// Reads records from an offset on, waiting up to `wait` while there are none.
-    fn read<'a>(
-        &'a self,
-        topic: &'a str,
-        from: u64,
-        wait: Duration,
-    ) -> BoxFuture<'a, ReadOutcome>;
+    fn read<'a>(&'a self, topic: &'a str, from: u64, wait: Duration) -> BoxFuture<'a, ReadOutcome>;
 
     /// Appends a record if the topic ends at `end`.
     fn append<'a>(
--- a/crates/mesh/src/model/client_limits.rs
+++ b/crates/mesh/src/model/client_limits.rs
@@ -1,8 +1,8 @@
 //! What a client may send, and how slowly.
 
-use std::time::Duration;
 use serde::Deserialize;
 use serde::Serialize;
+use std::time::Duration;
 
 /// Bounds what one client connection may ask of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/mesh/src/model/fencing_token.rs
+++ b/crates/mesh/src/model/fencing_token.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 
 /// How many tokens a leader may give in one epoch; it keeps tokens below 2^53, so that they survive
-/// a JSON reader that knows only floating-point numbers for four billion epochs.
+/// a JSON reader that knows only floating-point numbers for sixteen million claims.
 const IN_EPOCH: u64 = 1 << 21;
 
 /// Rises with every change of a key's holder; a backend server refuses a lower one than it has seen.
--- a/crates/mesh/src/model/service_settings.rs
+++ b/crates/mesh/src/model/service_settings.rs
@@ -1,8 +1,8 @@
 //! What the operators say of a service.
 
-use std::time::Duration;
 use serde::Deserialize;
 use serde::Serialize;
+use std::time::Duration;
 
 /// Describes the backend servers of a service.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/mesh/src/ownership/election/search.rs
+++ b/crates/mesh/src/ownership/election/search.rs
@@ -68,7 +68,12 @@
     }
 
     /// Learns the newest record.
-    pub(in crate::ownership) fn learn(&mut self, now: Moment, record: Option<LeaderRecord>, end: u64) {
+    pub(in crate::ownership) fn learn(
+        &mut self,
+        now: Moment,
+        record: Option<LeaderRecord>,
+        end: u64,
+    ) {
         self.reading = false;
         let since = match &self.known {
             Some(known) if known.end == end => known.since,
@@ -88,7 +93,13 @@
     }
 
     /// Learns whether another node hears the leader of an epoch.
-    pub(in crate::ownership) fn hear(&mut self, now: Moment, node: NodeName, epoch: Epoch, hears: bool) {
+    pub(in crate::ownership) fn hear(
+        &mut self,
+        now: Moment,
+        node: NodeName,
+        epoch: Epoch,
+        hears: bool,
+    ) {
         match hears {
             true => self.deaf.remove(&node),
             false => self.deaf.insert(node, (epoch, now)),
@@ -103,7 +114,10 @@
         times: &LeaseTimes,
         roll: f64,
     ) -> Verdict {
-        let fresh = self.known.as_ref().is_some_and(|known| now.since(known.seen) < READ_PAUSE);
+        let fresh = self
+            .known
+            .as_ref()
+            .is_some_and(|known| now.since(known.seen) < READ_PAUSE);
         if !fresh {
             let due = self.read_at.is_none_or(|at| now.since(at) >= READ_PAUSE);
             if self.reading || !due {
@@ -142,9 +156,8 @@
         }
         let deaf = record.voters.iter().filter(|voter| {
             let said = self.deaf.get(&voter.node);
-            let said = said.is_some_and(|(epoch, at)| {
-                *epoch >= record.epoch && now.since(*at) < FRESH
-            });
+            let said =
+                said.is_some_and(|(epoch, at)| *epoch >= record.epoch && now.since(*at) < FRESH);
             voter.node == *me || said
         });
         deaf.count() >= record.majority()
--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -104,7 +104,9 @@
 
     /// Returns until when the server said that it is cold.
     pub(in crate::ownership) fn cold_until(&self) -> Moment {
-        self.current.as_ref().map_or(Moment::default(), |current| current.cold_until)
+        self.current
+            .as_ref()
+            .map_or(Moment::default(), |current| current.cold_until)
     }
 
     /// Returns when the server was heard last.
@@ -114,7 +116,9 @@
 
     /// Tells whether what the server holds is known.
     pub(in crate::ownership) fn is_settled(&self) -> bool {
-        self.current.as_ref().is_some_and(|current| current.heard >= SETTLED_BEATS)
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.heard >= SETTLED_BEATS)
     }
 
     /// Returns everything that the server may hold now.
@@ -122,7 +126,8 @@
         let Some(current) = &self.current else {
             return Vec::new();
         };
-        let mut holding: Vec<HeldRange> = current.live_offers(now).map(|offer| offer.held).collect();
+        let mut holding: Vec<HeldRange> =
+            current.live_offers(now).map(|offer| offer.held).collect();
         if now < current.inherited_until {
             holding.extend(&current.newest.holds);
         }
@@ -145,7 +150,10 @@
         let Some(current) = &self.current else {
             return Vec::new();
         };
-        let recent = current.freed.iter().filter(|(at, _)| now.since(*at) < FREED_KEPT);
+        let recent = current
+            .freed
+            .iter()
+            .filter(|(at, _)| now.since(*at) < FREED_KEPT);
         recent.map(|(_, freed)| freed.clone()).collect()
     }
 
@@ -182,7 +190,9 @@
         // a grant of the range before this one.
         let known = |freed: &&FreedRange| !current.freed.iter().any(|(_, known)| known == *freed);
         let fresh: Vec<FreedRange> = heartbeat.freed.iter().filter(known).cloned().collect();
-        current.freed.extend(fresh.iter().map(|freed| (now, freed.clone())));
+        current
+            .freed
+            .extend(fresh.iter().map(|freed| (now, freed.clone())));
         // Only the server's word that it has released a range ends an offer early. That a heartbeat
         // does not list the range says nothing: it may have been sent before the answer came.
         let news: Vec<KeyRange> = fresh.iter().map(|freed| freed.keys).collect();
--- a/crates/mesh/src/ownership/leader/authority.rs
+++ b/crates/mesh/src/ownership/leader/authority.rs
@@ -27,6 +27,21 @@
         }
     }
 
+    /// Starts a leader to whom the leadership was handed on: it has no authority of its own yet, and
+    /// the voters' word counts for `storeless` from `written` on.
+    pub(super) fn handed(written: Moment, storeless: Duration, times: &LeaseTimes) -> Self {
+        let used = times.storeless.saturating_sub(storeless);
+        Self {
+            store: written.before(used.max(times.lease)),
+            majority: None,
+        }
+    }
+
+    /// Returns for how long the voters' word still counts without the store.
+    pub(super) fn storeless_left(&self, now: Moment, times: &LeaseTimes) -> Duration {
+        self.storeless_end(times).since(now)
+    }
+
     /// Learns that a question which was sent at `asked` was answered in this leader's favour.
     pub(super) fn confirm_by_store(&mut self, asked: Moment) {
         self.store = self.store.max(asked);
@@ -39,7 +54,9 @@
 
     /// Returns the newest moment at which the leadership is known to have held.
     pub(super) fn confirmed(&self, times: &LeaseTimes) -> Moment {
-        let majority = self.majority.filter(|stamp| *stamp < self.storeless_end(times));
+        let majority = self
+            .majority
+            .filter(|stamp| *stamp < self.storeless_end(times));
         majority.map_or(self.store, |stamp| stamp.max(self.store))
     }
 
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/handing.rs
@@ -0,0 +1,133 @@
+//! Handing the leadership on.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+use super::authority::Authority;
+use super::leader_machine::Leader;
+use super::ledger::Ledger;
+use super::record_keeping::RecordKeeper;
+use super::row::Freedom;
+use super::row::Row;
+use super::row::RowState;
+use super::row::Tenure;
+use crate::model::OperatorsIntent;
+use crate::ownership::Directory;
+use crate::ownership::HandedHolder;
+use crate::ownership::HandedRange;
+use crate::ownership::Handoff;
+use crate::ownership::LeaderRecord;
+use crate::ownership::LeaseTimes;
+use crate::ownership::Member;
+
+impl Leader {
+    /// Writes down what a successor must know, and chooses one; none if this leader does not know
+    /// everything itself, or nobody fits.
+    pub(in crate::ownership) fn hand_on(&self, now: Moment) -> Option<(Member, Handoff)> {
+        if self.takeover.is_some() || !self.record.complete || self.keeper.is_writing() {
+            return None;
+        }
+        let fits = |member: &&Member| {
+            member.life != self.me && !member.leaving && self.record.has(&member.life.node)
+        };
+        let successor = self.heard(now).find(fits)?.clone();
+        let record = LeaderRecord {
+            epoch: self.record.epoch.handed_on()?,
+            leader: successor.life.clone(),
+            control: successor.control,
+            ..self.record.clone()
+        };
+        let mut ranges = Vec::new();
+        for (service, ledger) in &self.ledgers {
+            ranges.extend(ledger.rows().iter().map(|row| {
+                let (holder, handover) = handed(now, row);
+                HandedRange {
+                    service: service.clone(),
+                    keys: row.keys,
+                    holder,
+                    handover,
+                }
+            }));
+        }
+        let storeless = self.authority.storeless_left(now, &self.times);
+        let sequence = self.peers.get(&successor.life.node)?.sequence;
+        let handoff = Handoff {
+            to: successor.life.clone(),
+            sequence,
+            record,
+            end: self.keeper.end(),
+            fence: self.fence,
+            storeless: milliseconds(storeless),
+            ranges,
+        };
+        Some((successor, handoff))
+    }
+
+    /// Goes on where another leader has stopped; `written` is a moment before it wrote the handoff.
+    pub(in crate::ownership) fn from_handoff(
+        now: Moment,
+        written: Moment,
+        handoff: &Handoff,
+        directory: &Directory,
+        intent: OperatorsIntent,
+        times: LeaseTimes,
+    ) -> Self {
+        let mut leader = Self::bare(now, handoff.record.clone(), directory, intent, times);
+        let storeless = Duration::from_millis(u64::from(handoff.storeless));
+        leader.authority = Authority::handed(written, storeless, &times);
+        leader.keeper = RecordKeeper::unwritten(now, handoff.end);
+        leader.fence = leader.fence.max(handoff.fence);
+        leader.starting = Some(now);
+        for range in &handoff.ranges {
+            let ledger = leader.ledgers.entry(range.service.clone());
+            let ledger = ledger.or_insert_with(|| Ledger::new(RowState::free()));
+            ledger.set(range.keys, taken(now, range));
+        }
+        leader
+    }
+}
+
+fn handed(now: Moment, row: &Row) -> (Option<HandedHolder>, Option<crate::model::Handover>) {
+    let leaving = matches!(row.state, RowState::Leaving { .. });
+    let holder = row.state.tenure().map(|tenure| HandedHolder {
+        node: tenure.node.clone(),
+        server: tenure.server.clone(),
+        fence: tenure.fence,
+        left: milliseconds(tenure.until.since(now)),
+        leaving,
+    });
+    let handover = match &row.state {
+        RowState::Free(freedom) => freedom.handover.clone(),
+        _ => None,
+    };
+    (holder, handover)
+}
+
+fn taken(now: Moment, range: &HandedRange) -> RowState {
+    let Some(holder) = &range.holder else {
+        return RowState::Free(Freedom {
+            // It may have lapsed just before.
+            lapsed: Some(now),
+            handover: range.handover.clone(),
+        });
+    };
+    let tenure = Tenure {
+        node: holder.node.clone(),
+        server: holder.server.clone(),
+        fence: holder.fence,
+        handover: None,
+        until: now + Duration::from_millis(u64::from(holder.left)),
+    };
+    match holder.leaving {
+        true => RowState::Leaving {
+            tenure,
+            since: now.0,
+        },
+        false => RowState::Held(tenure),
+    }
+}
+
+fn milliseconds(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::ServiceName;
@@ -31,6 +32,10 @@
 use crate::ownership::Order;
 use crate::ownership::PeerMessage;
 
+/// How long a leader to whom the leadership was handed may take to be confirmed: three beats of its
+/// nodes.
+const STARTING: Duration = Duration::from_millis(1_300);
+
 /// The nodes that the leader knows.
 pub(in crate::ownership) type Peers = BTreeMap<NodeName, Peer>;
 
@@ -50,6 +55,8 @@
     pub(super) fence: FencingToken,
     pub(super) tables: Tables,
     pub(super) intent: OperatorsIntent,
+    /// When the leadership was handed to this leader, until it has an authority of its own.
+    pub(super) starting: Option<Moment>,
 }
 
 /// Is what a node knows when its claim has succeeded.
@@ -73,7 +80,21 @@
         intent: OperatorsIntent,
         times: LeaseTimes,
     ) -> Self {
-        let epoch = start.record.epoch;
+        let mut leader = Self::bare(now, start.record, directory, intent, times);
+        leader.authority = Authority::new(start.sent);
+        leader.takeover = Some(Takeover::new(now, start.last));
+        leader.keeper = RecordKeeper::new(now, start.end);
+        leader
+    }
+
+    /// Makes a leader that knows only the nodes.
+    pub(super) fn bare(
+        now: Moment,
+        record: LeaderRecord,
+        directory: &Directory,
+        intent: OperatorsIntent,
+        times: LeaseTimes,
+    ) -> Self {
         let mut tables = Tables::default();
         let known = directory.members.values().map(|entry| {
             let changed = tables.next_version();
@@ -82,24 +103,28 @@
         });
         let peers = known.collect();
         Self {
-            me: start.record.leader.clone(),
+            me: record.leader.clone(),
             times,
-            authority: Authority::new(start.sent),
-            takeover: Some(Takeover::new(now, start.last)),
-            keeper: RecordKeeper::new(now, start.end),
-            record: start.record,
+            authority: Authority::new(now),
+            takeover: None,
+            keeper: RecordKeeper::new(now, 0),
+            fence: FencingToken::first_of(record.epoch.0),
+            record,
             peers,
             ledgers: BTreeMap::new(),
             clocks: BTreeMap::new(),
-            fence: FencingToken::first_of(epoch.0),
             tables,
             intent,
+            starting: None,
         }
     }
 
     /// Tells whether the leader may not act any more; it never may again in this epoch.
     pub(in crate::ownership) fn has_lapsed(&self, now: Moment) -> bool {
-        self.authority.left(now, &self.times).is_zero()
+        let starting = self
+            .starting
+            .is_some_and(|since| now.since(since) < STARTING);
+        !starting && self.authority.left(now, &self.times).is_zero()
     }
 
     /// Tells whether all keys are accounted for.
@@ -137,10 +162,12 @@
         self.place(now);
         self.lapse(now);
         let lease = self.authority.left(now, &self.times);
-        if lease.is_zero() {
+        // A leader without authority grants nothing, but a new one needs its orders repeated to get
+        // any.
+        if lease.is_zero() && self.starting.is_none() {
             return;
         }
-        let assignment = self.assignment(&node);
+        let assignment = self.assignment(&node).filter(|_| !lease.is_zero());
         if assignment.is_some() {
             self.extend(now, &node);
         }
@@ -189,6 +216,9 @@
         }
         let stamp = self.keeper.majority_stamp(&self.record, &self.peers);
         self.authority.confirm_by_majority(stamp);
+        if !self.authority.left(now, &self.times).is_zero() {
+            self.starting = None;
+        }
     }
 
     /// Follows what a node's server has released, and what ended with an earlier life of it.
@@ -201,7 +231,10 @@
             let Some(tenure) = row.state.tenure().filter(|tenure| tenure.node == *node) else {
                 continue;
             };
-            let held = beat.holding.iter().any(|held| held.keys.common(&row.keys).is_some());
+            let held = beat
+                .holding
+                .iter()
+                .any(|held| held.keys.common(&row.keys).is_some());
             let life = tenure.server.as_ref();
             let reborn = server.is_some_and(|server| life.is_some_and(|life| *life != server.life));
             match &row.state {
@@ -220,7 +253,8 @@
                     let applied = beat.order.is_some_and(|stamp| stamp >= *since);
                     if applied && !held {
                         let freed = beat.freed.iter().rev();
-                        let mut freed = freed.filter(|freed| freed.keys.common(&row.keys) == Some(row.keys));
+                        let mut freed =
+                            freed.filter(|freed| freed.keys.common(&row.keys) == Some(row.keys));
                         row.state = RowState::Free(Freedom {
                             lapsed: None,
                             handover: freed.next().map(|freed| freed.handover.clone()),
@@ -260,7 +294,7 @@
         let known = self.intent.config.is_some();
         let over = known && takeover.is_over(now, &self.peers, &self.times);
         for (service, ledger) in &mut self.ledgers {
-            takeover.adopt(now, &self.me, &self.peers, &self.times, over, ledger, service);
+            takeover.adopt(now, &self.peers, &self.times, over, ledger, service);
         }
         if !over {
             return;
@@ -287,7 +321,9 @@
                 true => RowState::Unknown,
                 false => RowState::free(),
             };
-            self.ledgers.entry(name.clone()).or_insert_with(|| Ledger::new(start));
+            self.ledgers
+                .entry(name.clone())
+                .or_insert_with(|| Ledger::new(start));
         }
     }
 
@@ -297,7 +333,11 @@
         let peer = self.peers.get(node)?;
         // A server that has fallen silent is told too: only an order that leaves a range out stops
         // its node from granting it when the server speaks again.
-        let server = peer.member.server.as_ref().filter(|server| server.settled)?;
+        let server = peer
+            .member
+            .server
+            .as_ref()
+            .filter(|server| server.settled)?;
         let mut ranges = Vec::new();
         if let Some(ledger) = self.ledgers.get(&peer.member.service) {
             for row in ledger.rows() {
@@ -343,7 +383,11 @@
         }
         let silent = self.peers.values().filter(|peer| !peer.is_heard(now));
         let mut addresses: Vec<SocketAddr> = silent.map(|peer| peer.member.control).collect();
-        let unknown = self.record.voters.iter().filter(|voter| !self.peers.contains_key(&voter.node));
+        let unknown = self
+            .record
+            .voters
+            .iter()
+            .filter(|voter| !self.peers.contains_key(&voter.node));
         addresses.extend(unknown.map(|voter| voter.control));
         for address in addresses {
             let record = Box::new(self.record.clone());
@@ -353,7 +397,10 @@
 
     /// Returns the members that this leader hears, for the directory of its own node.
     pub(in crate::ownership) fn heard(&self, now: Moment) -> impl Iterator<Item = &Member> {
-        self.peers.values().filter(move |peer| peer.is_heard(now)).map(|peer| &peer.member)
+        self.peers
+            .values()
+            .filter(move |peer| peer.is_heard(now))
+            .map(|peer| &peer.member)
     }
 }
 
--- a/crates/mesh/src/ownership/leader/mod.rs
+++ b/crates/mesh/src/ownership/leader/mod.rs
@@ -1,6 +1,7 @@
 //! What the leader does: it accounts for all keys, places them and renews leases.
 
 mod authority;
+mod handing;
 mod leader_machine;
 mod ledger;
 mod moves;
--- a/crates/mesh/src/ownership/leader/moves.rs
+++ b/crates/mesh/src/ownership/leader/moves.rs
@@ -39,43 +39,56 @@
 impl Leader {
     /// Grants what is free, takes keys from servers that leave, and levels the load.
     pub(super) fn place(&mut self, now: Moment) {
-        if self.takeover.is_some() || !self.record.complete {
-            return;
-        }
         let services: Vec<ServiceName> = self.ledgers.keys().cloned().collect();
         for service in services {
-            self.place_service(now, &service);
+            self.note_servers(now, &service);
+            if self.takeover.is_none() && self.record.complete {
+                self.place_service(now, &service);
+            }
         }
     }
 
-    fn place_service(&mut self, now: Moment, service: &ServiceName) {
-        let targets = self.targets(now, service);
-        let clock = self.clocks.entry(service.clone()).or_insert_with(|| MoveClock {
-            opened: now,
-            servers: Vec::new(),
-            servers_since: now,
-            moved: now,
-        });
-        if clock.servers != targets {
-            clock.servers.clone_from(&targets);
+    /// Follows since when the servers of a service are the same, also while a takeover goes on.
+    fn note_servers(&mut self, now: Moment, service: &ServiceName) {
+        let servers = self.servers(now, service);
+        let clock = self
+            .clocks
+            .entry(service.clone())
+            .or_insert_with(|| MoveClock {
+                opened: now,
+                servers: Vec::new(),
+                servers_since: now,
+                moved: now,
+            });
+        if clock.servers != servers {
+            clock.servers = servers;
             clock.servers_since = now;
         }
-        let gathered = now.since(clock.servers_since) >= GATHER || now.since(clock.opened) >= GATHER_MOST;
+    }
+
+    fn place_service(&mut self, now: Moment, service: &ServiceName) {
+        // Only recorded nodes may hold keys: a later leader asks just these.
+        let mut targets = self.servers(now, service);
+        targets.retain(|node| self.record.has(node));
+        let gathered = self.clocks.get(service).is_some_and(|clock| {
+            now.since(clock.servers_since) >= GATHER || now.since(clock.opened) >= GATHER_MOST
+        });
         if targets.is_empty() {
             return;
         }
         self.empty_leaving(now, service, &targets);
-        let started = self.ledgers.get(service).is_some_and(|ledger| {
-            ledger.rows().iter().any(|row| row.state.tenure().is_some())
-        });
+        let started = self
+            .ledgers
+            .get(service)
+            .is_some_and(|ledger| ledger.rows().iter().any(|row| row.state.tenure().is_some()));
         if started || gathered {
             self.grant_free(now, service, &targets);
             self.level(now, service, &targets);
         }
     }
 
-    /// Returns the nodes whose servers may get keys of a service.
-    fn targets(&self, now: Moment, service: &ServiceName) -> Vec<NodeName> {
+    /// Returns the nodes whose servers can take keys of a service.
+    fn servers(&self, now: Moment, service: &ServiceName) -> Vec<NodeName> {
         let usable = |peer: &Peer| {
             let member = &peer.member;
             let server = member.server.as_ref();
@@ -86,8 +99,6 @@
                 && !evacuated
                 && !member.leaving
                 && peer.is_heard(now)
-                // Only recorded nodes may hold keys: a later leader asks just these.
-                && self.record.has(&member.life.node)
         };
         let usable = self.peers.iter().filter(|(_, peer)| usable(peer));
         usable.map(|(node, _)| node.clone()).collect()
@@ -155,7 +166,10 @@
         node: &NodeName,
         handover: Option<Handover>,
     ) {
-        let server = self.peers.get(node).and_then(|peer| peer.member.server.as_ref());
+        let server = self
+            .peers
+            .get(node)
+            .and_then(|peer| peer.member.server.as_ref());
         let Some(server) = server.map(|server| server.life.clone()) else {
             return;
         };
@@ -177,7 +191,10 @@
         let Some(ledger) = self.ledgers.get(service) else {
             return;
         };
-        let moving = ledger.rows().iter().any(|row| !matches!(row.state, RowState::Held(_)));
+        let moving = ledger
+            .rows()
+            .iter()
+            .any(|row| !matches!(row.state, RowState::Held(_)));
         let clock = self.clocks.get(service);
         let rested = clock.is_some_and(|clock| now.since(clock.moved) >= MOVE_PAUSE);
         if moving || !rested {
@@ -216,7 +233,9 @@
         let candidate = |node: &NodeName| {
             let rows = ledger.rows().iter();
             let own = rows.filter(|row| {
-                row.state.tenure().is_some_and(|tenure| tenure.node == *node)
+                row.state
+                    .tenure()
+                    .is_some_and(|tenure| tenure.node == *node)
             });
             let peer = self.peers.get(node);
             let server = peer.and_then(|peer| peer.member.server.as_ref());
--- a/crates/mesh/src/ownership/leader/peer.rs
+++ b/crates/mesh/src/ownership/leader/peer.rs
@@ -77,7 +77,10 @@
             self.vouched = self.applied.max(self.vouched);
         }
         let left = Duration::from_millis(u64::from(beat.left));
-        self.lease_end = self.applied.filter(|_| beat.left > 0).map(|stamp| stamp + left);
+        self.lease_end = self
+            .applied
+            .filter(|_| beat.left > 0)
+            .map(|stamp| stamp + left);
         self.known = beat.known;
         self.holding.clone_from(&beat.holding);
         self.load = beat.load;
--- a/crates/mesh/src/ownership/leader/publishing.rs
+++ b/crates/mesh/src/ownership/leader/publishing.rs
@@ -38,7 +38,11 @@
     /// Returns what a node with these versions of the tables lacks.
     pub(super) fn update_for(&mut self, table: u64, owners: u64) -> TableUpdate {
         self.publish_owners();
-        let mut changed: Vec<_> = self.peers.values().filter(|peer| peer.changed > table).collect();
+        let mut changed: Vec<_> = self
+            .peers
+            .values()
+            .filter(|peer| peer.changed > table)
+            .collect();
         changed.sort_by_key(|peer| peer.changed);
         let whole = changed.len() <= MOST_MEMBERS;
         changed.truncate(MOST_MEMBERS);
@@ -46,8 +50,14 @@
             true => self.tables.version,
             false => changed.last().map_or(table, |peer| peer.changed),
         };
-        let members = changed.iter().map(|peer| (peer.member.clone(), peer.told_heard));
-        let gone = self.tables.removed.iter().filter(|(version, _)| *version > table);
+        let members = changed
+            .iter()
+            .map(|peer| (peer.member.clone(), peer.told_heard));
+        let gone = self
+            .tables
+            .removed
+            .iter()
+            .filter(|(version, _)| *version > table);
         let loads = match whole {
             true => self.peers.values().map(|peer| peer.load).collect(),
             false => Vec::new(),
@@ -71,7 +81,10 @@
                 peer.changed = self.tables.next_version();
             }
         }
-        let gone = self.peers.iter().filter(|(_, peer)| now.since(peer.last_word()) >= FORGET);
+        let gone = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| now.since(peer.last_word()) >= FORGET);
         let gone: Vec<NodeName> = gone.map(|(node, _)| node.clone()).collect();
         for node in gone {
             self.peers.remove(&node);
@@ -90,9 +103,10 @@
                     continue;
                 };
                 match owners.last_mut() {
-                    Some(last) if last.node == tenure.node
-                        && last.service == *service
-                        && u32::from(last.keys.last) + 1 == u32::from(row.keys.first) =>
+                    Some(last)
+                        if last.node == tenure.node
+                            && last.service == *service
+                            && u32::from(last.keys.last) + 1 == u32::from(row.keys.first) =>
                     {
                         last.keys.last = row.keys.last;
                     }
--- a/crates/mesh/src/ownership/leader/record_keeping.rs
+++ b/crates/mesh/src/ownership/leader/record_keeping.rs
@@ -17,6 +17,8 @@
 const CALM: Duration = Duration::from_millis(500);
 /// How long a node may be silent and stay a voter.
 const VOTER_SILENCE: Duration = Duration::from_secs(5);
+/// The same for a node that said it leaves and has no backend server any more.
+const GONE_SILENCE: Duration = Duration::from_millis(1_500);
 /// How long a call to the store is waited for at most; the client gives up earlier.
 const CALL: Duration = Duration::from_secs(4);
 
@@ -61,6 +63,24 @@
         }
     }
 
+    /// Starts for a leader whose record is not in the store yet.
+    pub(super) fn unwritten(now: Moment, end: u64) -> Self {
+        Self {
+            written: Moment::default(),
+            ..Self::new(now, end)
+        }
+    }
+
+    /// Returns where the topic ends, as far as known.
+    pub(super) fn end(&self) -> u64 {
+        self.end
+    }
+
+    /// Tells whether the fate of a write is open.
+    pub(super) fn is_writing(&self) -> bool {
+        self.pending.is_some()
+    }
+
     /// Returns since when a majority of the voters confirms the leadership. While a change of the
     /// voters is in flight, a later leader may read either set, so both must have a majority.
     pub(super) fn majority_stamp(&self, record: &LeaderRecord, peers: &Peers) -> Option<Moment> {
@@ -174,6 +194,11 @@
                 }
                 self.keeper.missing = self.keeper.pending.is_some();
             }
+            // The leadership was handed on, and its record is still to be written.
+            Some(record) if record.epoch < self.record.epoch => {
+                self.authority.confirm_by_store(asked);
+                self.keeper.missing = self.keeper.pending.is_some();
+            }
             _ => self.keeper.overtaken = true,
         }
     }
@@ -181,7 +206,9 @@
 
 fn voters(now: Moment, peers: &Peers) -> Vec<Voter> {
     let heard = peers.values().filter(|peer| {
-        peer.heard_at.is_some_and(|at| now.since(at) < VOTER_SILENCE)
+        let left = peer.member.leaving && peer.member.server.is_none();
+        let most = if left { GONE_SILENCE } else { VOTER_SILENCE };
+        peer.heard_at.is_some_and(|at| now.since(at) < most)
     });
     let voters = heard.map(|peer| Voter {
         node: peer.member.life.node.clone(),
@@ -193,8 +220,11 @@
 /// Returns the newest moment since which a majority of a record's voters has confirmed.
 fn majority_stamp(record: &LeaderRecord, peers: &Peers) -> Option<Moment> {
     let vouched = |node| peers.get(node).and_then(|peer| peer.vouched);
-    let mut stamps: Vec<Moment> =
-        record.voters.iter().filter_map(|voter| vouched(&voter.node)).collect();
+    let mut stamps: Vec<Moment> = record
+        .voters
+        .iter()
+        .filter_map(|voter| vouched(&voter.node))
+        .collect();
     stamps.sort_unstable();
     let place = stamps.len().checked_sub(record.majority())?;
     stamps.get(place).copied()
--- a/crates/mesh/src/ownership/leader/takeover.rs
+++ b/crates/mesh/src/ownership/leader/takeover.rs
@@ -3,8 +3,8 @@
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::time::Moment;
 
-use super::ledger::Ledger;
 use super::leader_machine::Peers;
+use super::ledger::Ledger;
 use super::peer::Peer;
 use super::row::Row;
 use super::row::RowState;
@@ -13,7 +13,6 @@
 use crate::model::KeyRange;
 use crate::ownership::LeaderRecord;
 use crate::ownership::LeaseTimes;
-use crate::ownership::NodeLife;
 use crate::ownership::ServerCard;
 
 /// Follows what is known of earlier leaders' grants.
@@ -51,47 +50,33 @@
         }
         let follows = |node| {
             let peer = peers.get(node);
-            peer.and_then(|peer| peer.heard_at).is_some_and(|at| now.since(at) < times.lease)
+            peer.and_then(|peer| peer.heard_at)
+                .is_some_and(|at| now.since(at) < times.lease)
         };
-        let count = last.voters.iter().filter(|voter| follows(&voter.node)).count();
+        let count = last
+            .voters
+            .iter()
+            .filter(|voter| follows(&voter.node))
+            .count();
         if count >= last.majority() {
             self.majority = Some(now);
         }
     }
 
-    /// Tells whether every earlier leader's process is known to be gone: a later process runs on
-    /// its host, or it was this one.
-    fn predecessor_is_gone(&self, me: &NodeLife, peers: &Peers) -> bool {
-        let Some(last) = &self.last else {
-            return true;
-        };
-        if !last.complete {
-            return false;
-        }
-        let node = &last.leader.node;
-        if *node == me.node {
-            return true;
-        }
-        let peer = peers.get(node).filter(|peer| peer.heard_at.is_some());
-        peer.is_some_and(|peer| peer.member.life != last.leader)
-    }
-
     /// Takes over what nodes report, where it is sure that no earlier leader can have given it to
     /// another; `over` says that this holds for everything.
     pub(super) fn adopt(
         &self,
         now: Moment,
-        me: &NodeLife,
         peers: &Peers,
         times: &LeaseTimes,
         over: bool,
         ledger: &mut Ledger,
         service: &ServiceName,
     ) {
-        let over = over || self.predecessor_is_gone(me, peers);
         // The earlier leader gives a lapsed lease's keys away only after a confirmation that is
         // younger than the lapse. Voters who followed this leader before the lease's end never
-        // gave one, and a process that is gone gives nothing away.
+        // gave one.
         let in_time = |end: Moment| self.majority.is_some_and(|since| since < end) && now < end;
         let mut reported: Vec<(HeldRange, &Peer)> = peers
             .values()
@@ -130,7 +115,9 @@
             return true;
         };
         let known = |node| {
-            peers.get(node).is_some_and(|peer| peer.is_heard(now) && peer.is_accounted())
+            peers
+                .get(node)
+                .is_some_and(|peer| peer.is_heard(now) && peer.is_accounted())
         };
         if last.voters.iter().all(|voter| known(&voter.node)) {
             return true;
--- a/crates/mesh/src/ownership/message/mod.rs
+++ b/crates/mesh/src/ownership/message/mod.rs
@@ -2,6 +2,7 @@
 
 mod beat;
 mod epoch;
+mod handoff;
 mod leader_record;
 mod member;
 mod node_life;
@@ -14,6 +15,9 @@
 pub use beat::Beat;
 pub use beat::KeyLoad;
 pub use epoch::Epoch;
+pub use handoff::HandedHolder;
+pub use handoff::HandedRange;
+pub use handoff::Handoff;
 pub use leader_record::LeaderRecord;
 pub use leader_record::Voter;
 pub use member::Member;
--- a/crates/mesh/src/ownership/message/peer_message.rs
+++ b/crates/mesh/src/ownership/message/peer_message.rs
@@ -5,6 +5,7 @@
 
 use super::Beat;
 use super::Epoch;
+use super::Handoff;
 use super::LeaderRecord;
 use super::NodeLife;
 use super::Order;
@@ -36,6 +37,8 @@
     /// A leader speaks to a node that does not: a new leader, or a node that knows nobody because
     /// it has started while the store is away.
     Lead(Box<LeaderRecord>),
+    /// A leader that shuts down hands its leadership on; it has stopped acting.
+    Handoff(Box<Handoff>),
     /// The leader of an epoch stands down; the next is to be found at once.
     Resign {
         /// Its epoch.
--- a/crates/mesh/src/ownership/node_machine.rs
+++ b/crates/mesh/src/ownership/node_machine.rs
@@ -17,6 +17,7 @@
 use super::Directory;
 use super::Epoch;
 use super::Event;
+use super::Handoff;
 use super::HeartbeatAnswer;
 use super::KeyLoad;
 use super::LeaderRead;
@@ -109,9 +110,13 @@
     key_loads: Vec<KeyLoad>,
     key_loads_sent: Moment,
     leaving: bool,
+    /// What is handed on, until its receiver is followed.
+    handing: Option<(SocketAddr, Handoff)>,
     beat_due: Moment,
     sequence: u64,
     outstanding: VecDeque<(u64, Moment)>,
+    /// When the newest beats were sent, answered or not.
+    sent: VecDeque<(u64, Moment)>,
     told: Option<(Option<ServerCard>, Vec<HeldRange>)>,
 }
 
@@ -150,9 +155,11 @@
             key_loads: Vec::new(),
             key_loads_sent: Moment::default(),
             leaving: false,
+            handing: None,
             beat_due: now,
             sequence: 0,
             outstanding: VecDeque::new(),
+            sent: VecDeque::new(),
             told: None,
         }
     }
@@ -160,6 +167,10 @@
     /// Takes one event and returns what follows from it.
     pub fn step(&mut self, now: Moment, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
+        let taking_over = self
+            .leader
+            .as_ref()
+            .is_some_and(|leader| !leader.is_complete());
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::Message(from, message) => self.take(now, from, message, &mut actions),
@@ -173,6 +184,9 @@
             }
             Event::Shutdown => self.shut_down(now, &mut actions),
         }
+        if taking_over {
+            self.note_completion(now, &mut actions);
+        }
         self.stand_down_if_over(now, &mut actions);
         if now >= self.beat_due {
             self.beat(now, &mut actions);
@@ -224,7 +238,9 @@
 
     /// Returns the epoch that the node follows.
     pub fn epoch(&self) -> Option<Epoch> {
-        self.following.as_ref().map(|following| following.record.epoch)
+        self.following
+            .as_ref()
+            .map(|following| following.record.epoch)
     }
 
     fn me(&self) -> &NodeName {
@@ -233,16 +249,10 @@
 
     fn tick(&mut self, now: Moment, actions: &mut Vec<Action>) {
         if let Some(leader) = &mut self.leader {
-            let taking_over = !leader.is_complete();
             leader.tick(now, actions);
-            if taking_over && leader.is_complete() {
-                let heard = leader.heard(now).count();
-                let epoch = leader.record().epoch;
-                let detail = format!("{heard} nodes heard");
-                note(actions, "takeover_complete", epoch, detail);
-            }
             return;
         }
+        self.send_handoff(actions);
         if self.hears_leader(now) {
             self.search.stop();
             return;
@@ -273,7 +283,10 @@
         }
         self.asked = now;
         let record = &following.record;
-        let others = record.voters.iter().filter(|voter| voter.node != *self.me());
+        let others = record
+            .voters
+            .iter()
+            .filter(|voter| voter.node != *self.me());
         for voter in others {
             let ask = PeerMessage::Ask {
                 from: self.profile.life.clone(),
@@ -293,8 +306,14 @@
         if self.claim.is_some() || self.leaving {
             return;
         }
-        let epoch = last.as_ref().map_or(Epoch::default(), |last| last.epoch).next();
-        let voters = last.as_ref().map(|last| last.voters.clone()).unwrap_or_default();
+        let epoch = last
+            .as_ref()
+            .map_or(Epoch::default(), |last| last.epoch)
+            .next_claim();
+        let voters = last
+            .as_ref()
+            .map(|last| last.voters.clone())
+            .unwrap_or_default();
         let record = LeaderRecord {
             epoch,
             leader: self.profile.life.clone(),
@@ -337,20 +356,19 @@
 
     fn lead(&mut self, now: Moment, start: LeaderStart, actions: &mut Vec<Action>) {
         let epoch = start.record.epoch;
-        note(actions, "leads", epoch, format!("{} voters", start.record.voters.len()));
+        note(
+            actions,
+            "leads",
+            epoch,
+            format!("{} voters", start.record.voters.len()),
+        );
         self.follow(now, start.record.clone(), actions);
         let directory = &self.directory;
         let intent = self.intent.clone();
         let leader = Leader::new(now, start, directory, intent, self.times);
         // The directory's versions are another leader's; its content is this one's start.
         self.leader = Some(leader);
-        let record = self.leader.as_ref().map(|leader| leader.record().clone());
-        for (node, entry) in &self.directory.members {
-            if let Some(record) = record.clone().filter(|_| *node != self.profile.life.node) {
-                let lead = PeerMessage::Lead(Box::new(record));
-                actions.push(Action::Send(entry.member.control, lead));
-            }
-        }
+        self.call_all(actions);
     }
 
     fn learn_read(
@@ -375,7 +393,9 @@
         let Some(record) = record else {
             return;
         };
-        if let Some(start) = self.claim.take_if(|start| start.record.epoch <= record.epoch)
+        if let Some(start) = self
+            .claim
+            .take_if(|start| start.record.epoch <= record.epoch)
             && start.record == record
         {
             // Our claim's answer was lost; it stood when this was asked.
@@ -393,25 +413,50 @@
     /// Follows the leader of a later epoch.
     fn follow(&mut self, now: Moment, record: LeaderRecord, actions: &mut Vec<Action>) {
         let epoch = record.epoch;
-        let known = self.following.as_ref().map(|following| following.record.epoch);
+        let known = self
+            .following
+            .as_ref()
+            .map(|following| following.record.epoch);
         if known.is_some_and(|known| known >= epoch) {
             return;
         }
-        note(actions, "follows", epoch, format!("leader {}", record.leader));
+        note(
+            actions,
+            "follows",
+            epoch,
+            format!("leader {}", record.leader),
+        );
         // What the earlier leader answers from now on is void, or this node could count for both.
         self.outstanding.clear();
         self.directory.follow(epoch);
+        // A record that names an earlier process of this very node names nobody who lives.
+        let leader = &record.leader;
+        let dead = leader.node == self.profile.life.node && *leader != self.profile.life;
         self.following = Some(Following {
             record,
             since: now,
             heard: None,
             stamp: None,
-            resigned: false,
+            resigned: dead,
         });
         self.search.stop();
         self.beat_due = now;
     }
 
+    fn note_completion(&self, now: Moment, actions: &mut Vec<Action>) {
+        let Some(leader) = self.leader.as_ref().filter(|leader| leader.is_complete()) else {
+            return;
+        };
+        let heard = leader.heard(now).count();
+        let epoch = leader.record().epoch;
+        note(
+            actions,
+            "takeover_complete",
+            epoch,
+            format!("{heard} nodes heard"),
+        );
+    }
+
     fn stand_down_if_over(&mut self, now: Moment, actions: &mut Vec<Action>) {
         let Some(leader) = &self.leader else {
             return;
@@ -446,15 +491,72 @@
             return;
         };
         let epoch = leader.record().epoch;
-        let others: Vec<SocketAddr> = leader
-            .heard(now)
-            .filter(|member| member.life != self.profile.life)
-            .map(|member| member.control)
-            .collect();
-        for address in others {
-            actions.push(Action::Send(address, PeerMessage::Resign { epoch }));
+        self.handing = leader
+            .hand_on(now)
+            .map(|(successor, handoff)| (successor.control, handoff));
+        if self.handing.is_none() {
+            let others = leader
+                .heard(now)
+                .filter(|member| member.life != self.profile.life);
+            let resign = PeerMessage::Resign { epoch };
+            actions.extend(others.map(|member| Action::Send(member.control, resign.clone())));
         }
+        // From here on this process does not act as a leader any more, so its successor may.
         self.stand_down(epoch, "the node shuts down", actions);
+        self.send_handoff(actions);
+    }
+
+    /// Sends what is handed on, until its receiver is followed; datagrams are lost now and then.
+    fn send_handoff(&mut self, actions: &mut Vec<Action>) {
+        let followed = self.epoch();
+        self.handing
+            .take_if(|(_, handoff)| followed >= Some(handoff.record.epoch));
+        if let Some((to, handoff)) = &self.handing {
+            let message = PeerMessage::Handoff(Box::new(handoff.clone()));
+            actions.push(Action::Send(*to, message));
+        }
+    }
+
+    /// Goes on as the leader where another has stopped.
+    fn take_over(&mut self, now: Moment, handoff: &Handoff, actions: &mut Vec<Action>) {
+        let epoch = handoff.record.epoch;
+        let known = self.epoch().is_some_and(|known| known >= epoch);
+        if handoff.to != self.profile.life || known || self.stood_down >= epoch || self.leaving {
+            return;
+        }
+        // A handoff that names no recent beat has been on its way for too long.
+        let beat = self
+            .sent
+            .iter()
+            .find(|(sequence, _)| *sequence == handoff.sequence);
+        let Some((_, written)) = beat.copied() else {
+            return;
+        };
+        note(
+            actions,
+            "leads",
+            epoch,
+            "handed on by a leader that shuts down".to_owned(),
+        );
+        self.follow(now, handoff.record.clone(), actions);
+        let intent = self.intent.clone();
+        let leader =
+            Leader::from_handoff(now, written, handoff, &self.directory, intent, self.times);
+        self.leader = Some(leader);
+        self.call_all(actions);
+    }
+
+    /// Tells all known nodes who leads.
+    fn call_all(&self, actions: &mut Vec<Action>) {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        for (node, entry) in &self.directory.members {
+            if *node != self.profile.life.node {
+                let lead = PeerMessage::Lead(Box::new(leader.record().clone()));
+                actions.push(Action::Send(entry.member.control, lead));
+            }
+        }
     }
 
     fn take(
@@ -488,6 +590,7 @@
                     self.follow(now, *record, actions);
                 }
             }
+            PeerMessage::Handoff(handoff) => self.take_over(now, &handoff, actions),
             PeerMessage::Resign { epoch } => {
                 if let Some(following) = &mut self.following
                     && following.record.epoch == epoch
@@ -505,7 +608,10 @@
         let known = following.record.epoch == order.epoch
             && following.record.leader == order.leader
             && order.life == self.profile.life.life;
-        let beat = self.outstanding.iter().find(|(sequence, _)| *sequence == order.sequence);
+        let beat = self
+            .outstanding
+            .iter()
+            .find(|(sequence, _)| *sequence == order.sequence);
         // An order that answers no outstanding beat is late, doubled, or meant for an earlier life.
         let Some((sequence, sent)) = beat.copied().filter(|_| known) else {
             return;
@@ -539,7 +645,11 @@
                 let life = heartbeat.life.clone();
                 if self.server.life() != Some(&life) {
                     let epoch = self.epoch().unwrap_or_default();
-                    let detail = format!("{life} holds {} ranges", heartbeat.holds.len());
+                    let detail = format!(
+                        "{life}, heartbeat {}, holds {} ranges",
+                        heartbeat.sequence,
+                        heartbeat.holds.len()
+                    );
                     note(actions, "server_life", epoch, detail);
                 }
                 let lease = self.lease.as_ref().filter(|lease| now < lease.until);
@@ -609,7 +719,10 @@
         }
         let epoch = following.record.epoch;
         let age = now.since(self.started);
-        let left = self.lease.as_ref().map_or(Duration::ZERO, |lease| lease.until.since(now));
+        let left = self
+            .lease
+            .as_ref()
+            .map_or(Duration::ZERO, |lease| lease.until.since(now));
         let card = self.card(now);
         let holding = self.server.holding(now);
         let key_loads = match now.since(self.key_loads_sent) >= KEY_LOADS_PAUSE {
@@ -635,7 +748,8 @@
             order: following.stamp,
             // A restarted process may have followed a later leader in its earlier life. It has read
             // the store since, or every authority of that time has ended.
-            vouches: self.read_epoch == Some(epoch) || age >= self.times.lease * 2,
+            vouches: self.read_epoch.is_some_and(|read| read <= epoch)
+                || age >= self.times.lease * 2,
             left: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
             known: self.server.is_settled() || age >= LeaseTimes::waited(self.times.lease),
             holding: holding.clone(),
@@ -647,10 +761,12 @@
             intent: self.intent.offset,
         };
         self.told = Some((card, holding));
-        if self.outstanding.len() == BEATS_KEPT {
-            self.outstanding.pop_front();
+        for kept in [&mut self.outstanding, &mut self.sent] {
+            if kept.len() == BEATS_KEPT {
+                kept.pop_front();
+            }
+            kept.push_back((self.sequence, now));
         }
-        self.outstanding.push_back((self.sequence, now));
         let control = following.record.control;
         actions.push(Action::Send(control, PeerMessage::Beat(Box::new(beat))));
     }
--- a/crates/mesh/src/placement/pick_move.rs
+++ b/crates/mesh/src/placement/pick_move.rs
@@ -32,7 +32,10 @@
         .iter()
         .enumerate()
         .max_by(|(_, a), (_, b)| fill(a).total_cmp(&fill(b)))?;
-    let warm = servers.iter().enumerate().filter(|(_, server)| !server.cold);
+    let warm = servers
+        .iter()
+        .enumerate()
+        .filter(|(_, server)| !server.cold);
     let (to, empty) = warm.min_by(|(_, a), (_, b)| fill(a).total_cmp(&fill(b)))?;
     let gap = fill(full) - fill(empty);
     if from == to || fill(full) < FULL || gap < GAP {
--- a/crates/mesh/src/placement/share_out.rs
+++ b/crates/mesh/src/placement/share_out.rs
@@ -27,7 +27,8 @@
     for (place, keys) in free.iter().enumerate() {
         let mut rest = Some(*keys);
         while let Some(keys) = rest {
-            let Some((server, lack)) = lacks.iter().enumerate().max_by_key(|(_, lack)| **lack) else {
+            let Some((server, lack)) = lacks.iter().enumerate().max_by_key(|(_, lack)| **lack)
+            else {
                 break;
             };
             let lack = u32::try_from((*lack).max(0)).unwrap_or(u32::MAX);
@@ -47,7 +48,9 @@
             if let Some(lack) = lacks.get_mut(server) {
                 *lack -= i64::from(size);
             }
-            rest = last.checked_add(1).and_then(|first| KeyRange::new(first, keys.last));
+            rest = last
+                .checked_add(1)
+                .and_then(|first| KeyRange::new(first, keys.last));
         }
     }
     shared
--- a/crates/mesh/src/routing/weight_wheel.rs
+++ b/crates/mesh/src/routing/weight_wheel.rs
@@ -20,7 +20,11 @@
             *credit += i64::from(part.weight);
             total += i64::from(part.weight);
         }
-        let chosen = self.credits.iter().enumerate().max_by_key(|(_, credit)| **credit);
+        let chosen = self
+            .credits
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, credit)| **credit);
         let place = chosen.map_or(0, |(place, _)| place);
         if let Some(credit) = self.credits.get_mut(place) {
             *credit -= total;
--- a/crates/mesh/src/traffic/admission/admission_machine.rs
+++ b/crates/mesh/src/traffic/admission/admission_machine.rs
@@ -155,9 +155,9 @@
 
     fn drop_hopeless(&mut self, now: Moment, actions: &mut Vec<AdmissionAction>) {
         let pace = &self.pace;
-        let hopeless = self.line.take_if(|job, _| {
-            now + pace.of(&job.route).mul_f64(NEEDED) > job.deadline
-        });
+        let hopeless = self
+            .line
+            .take_if(|job, _| now + pace.of(&job.route).mul_f64(NEEDED) > job.deadline);
         for job in hopeless {
             let back = self.return_time(SHORTEST_RETURN);
             actions.push(AdmissionAction::Refuse(job.ticket, NotRun::Expired, back));
--- a/crates/mesh/src/traffic/admission/cold_gate.rs
+++ b/crates/mesh/src/traffic/admission/cold_gate.rs
@@ -32,7 +32,11 @@
 
     /// Returns when the next request may go; none if it may go now.
     pub fn wait(&mut self, now: Moment) -> Option<Duration> {
-        while self.sent.front().is_some_and(|at| now.since(*at) >= SPAN + BUNCHING) {
+        while self
+            .sent
+            .front()
+            .is_some_and(|at| now.since(*at) >= SPAN + BUNCHING)
+        {
             self.sent.pop_front();
         }
         let rate = self.rate.filter(|_| now < self.until)?;
--- a/crates/mesh/src/traffic/admission/line.rs
+++ b/crates/mesh/src/traffic/admission/line.rs
@@ -69,8 +69,14 @@
     where
         F: Fn(&Job, bool) -> bool,
     {
-        let taken = self.jobs.iter().filter(|(place, job)| is_taken(job, place.late));
+        let taken = self
+            .jobs
+            .iter()
+            .filter(|(place, job)| is_taken(job, place.late));
         let tickets: Vec<Ticket> = taken.map(|(_, job)| job.ticket).collect();
-        tickets.into_iter().filter_map(|ticket| self.remove(ticket)).collect()
+        tickets
+            .into_iter()
+            .filter_map(|ticket| self.remove(ticket))
+            .collect()
     }
 }
--- a/crates/mesh/src/traffic/choice/chooser.rs
+++ b/crates/mesh/src/traffic/choice/chooser.rs
@@ -71,7 +71,9 @@
 
     /// Tells whether a node could lately not be reached.
     pub fn is_avoided(&self, now: Moment, node: &NodeName) -> bool {
-        self.outlooks.get(node).is_some_and(|outlook| outlook.is_avoided(now))
+        self.outlooks
+            .get(node)
+            .is_some_and(|outlook| outlook.is_avoided(now))
     }
 
     /// Counts a request that is sent to a node.
@@ -81,12 +83,18 @@
 
     /// Learns how a request at a node ended, and the load that came with the answer.
     pub fn ended(&mut self, now: Moment, node: &NodeName, load: Option<NodeLoad>, failed: bool) {
-        self.outlooks.entry(node.clone()).or_default().ended(now, load, failed);
+        self.outlooks
+            .entry(node.clone())
+            .or_default()
+            .ended(now, load, failed);
     }
 
     /// Learns that a node could not be reached.
     pub fn unreachable(&mut self, now: Moment, node: &NodeName) {
-        self.outlooks.entry(node.clone()).or_default().unreachable(now);
+        self.outlooks
+            .entry(node.clone())
+            .or_default()
+            .unreachable(now);
     }
 }
 
@@ -99,8 +107,16 @@
     let unknown = Outlook::default();
     let outlook = outlook.unwrap_or(&unknown);
     let fill = outlook.fill(now, entry.load);
-    let way = if entry.member.zone == *zone { 0.0 } else { ZONE_COST };
-    let cold = entry.member.server.as_ref().is_some_and(|server| server.cold);
+    let way = if entry.member.zone == *zone {
+        0.0
+    } else {
+        ZONE_COST
+    };
+    let cold = entry
+        .member
+        .server
+        .as_ref()
+        .is_some_and(|server| server.cold);
     let cold = if cold { COLD_COST } else { 0.0 };
     // Far beyond any fill: a node that can't be reached is the last choice.
     let away = if outlook.is_avoided(now) { 10.0 } else { 0.0 };
--- a/crates/mesh/src/traffic/not_run.rs
+++ b/crates/mesh/src/traffic/not_run.rs
@@ -60,6 +60,8 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let found = Self::ALL.iter().find(|(_, name)| *name == text);
-        found.map(|(reason, _)| *reason).ok_or_else(|| ParseNotRunError(text.to_owned()))
+        found
+            .map(|(reason, _)| *reason)
+            .ok_or_else(|| ParseNotRunError(text.to_owned()))
     }
 }
--- a/crates/mesh/tests/ownership_schedules.rs
+++ b/crates/mesh/tests/ownership_schedules.rs
@@ -26,17 +26,28 @@
 /// Plays schedules, and returns the mean time without an owner, in seconds of all keys.
 fn play(trouble: Trouble) -> f64 {
     let count = std::env::var("QUETZALRACK_SCHEDULES");
-    let count = count.ok().and_then(|count| count.parse().ok()).unwrap_or(USUAL);
-    let first = std::env::var("QUETZALRACK_SEED").ok().and_then(|seed| seed.parse().ok());
+    let count = count
+        .ok()
+        .and_then(|count| count.parse().ok())
+        .unwrap_or(USUAL);
+    let first = std::env::var("QUETZALRACK_SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok());
     let first: u64 = first.unwrap_or(0);
     let mut unowned = 0.0;
     for seed in first..first + count {
         let mut fleet = Fleet::new(plan(seed, trouble));
         fleet.play();
         assert_eq!(fleet.problem, None, "{trouble:?}, seed {seed}");
-        assert!(fleet.grants > 0, "{trouble:?}, seed {seed}: nothing was ever granted");
+        assert!(
+            fleet.grants > 0,
+            "{trouble:?}, seed {seed}: nothing was ever granted"
+        );
         let owned = fleet.lately;
-        assert!(owned >= 65_536, "{trouble:?}, seed {seed}: only {owned} keys have an owner at the end");
+        assert!(
+            owned >= 65_536,
+            "{trouble:?}, seed {seed}: only {owned} keys have an owner at the end"
+        );
         unowned += fleet.unowned as f64 / 10_000.0;
     }
     unowned / count as f64
@@ -56,6 +67,12 @@
     play(Trouble::Kills);
 }
 
+/// Processes are told to leave in turn, the leader's among them, which hands its leadership on.
+#[test]
+fn leaves() {
+    play(Trouble::Leaves);
+}
+
 /// Hosts lose power, now and then all at once, some for good; nobody is left who remembers.
 #[test]
 fn power() {
@@ -85,3 +102,16 @@
 fn everything() {
     play(Trouble::Everything);
 }
+
+/// The store is away and the leader is told to leave: keys have no owner until the store is back,
+/// since nobody can be named as the next leader; unless the leader hands its leadership on.
+#[test]
+fn leaves_without_store() {
+    let mut fleet = Fleet::new(plan(1, Trouble::Calm));
+    fleet.lose_store(Duration::from_secs(10), Duration::from_secs(14));
+    fleet.leave_leader(Duration::from_secs(14));
+    fleet.play();
+    assert_eq!(fleet.problem, None);
+    let unowned = fleet.unowned as f64 / 10_000.0;
+    assert!(unowned < 7.0, "{unowned} s without an owner");
+}
--- a/crates/mesh/tests/ownership_support/fake_server.rs
+++ b/crates/mesh/tests/ownership_support/fake_server.rs
@@ -91,9 +91,20 @@
 
     /// Takes the answer to the heartbeat `sequence`; tells whether something is to be released, so
     /// that another heartbeat follows soon.
-    pub fn answer(&mut self, now: Moment, sequence: u64, answer: &HeartbeatAnswer, work: Duration) -> bool {
+    pub fn answer(
+        &mut self,
+        now: Moment,
+        sequence: u64,
+        answer: &HeartbeatAnswer,
+        work: Duration,
+    ) -> bool {
         self.age(now);
-        let Some((_, sent, told)) = self.sent.iter().find(|(sent, ..)| *sent == sequence).copied() else {
+        let Some((_, sent, told)) = self
+            .sent
+            .iter()
+            .find(|(sent, ..)| *sent == sequence)
+            .copied()
+        else {
             return false;
         };
         if now.since(sent) > ACCEPTED {
@@ -105,7 +116,9 @@
             return false;
         };
         self.take(now, sent, renewal, work);
-        self.holdings.iter().any(|holding| holding.released.is_some())
+        self.holdings
+            .iter()
+            .any(|holding| holding.released.is_some())
     }
 
     fn take(&mut self, now: Moment, sent: Moment, renewal: &Renewal, work: Duration) {
@@ -113,7 +126,8 @@
         let before = std::mem::take(&mut self.holdings);
         for range in &renewal.ranges {
             let newer = before.iter().any(|old| {
-                old.held.keys.common(&range.held.keys).is_some() && old.held.fence > range.held.fence
+                old.held.keys.common(&range.held.keys).is_some()
+                    && old.held.fence > range.held.fence
             });
             if !newer && now < until {
                 self.holdings.push(Holding {
--- a/crates/mesh/tests/ownership_support/fleet.rs
+++ b/crates/mesh/tests/ownership_support/fleet.rs
@@ -104,6 +104,10 @@
     StoreWrite(usize, u64, u64, LeaderRecord),
     ReadDone(usize, u64, Moment, LeaderRead),
     WriteDone(usize, u64, AppendOutcome),
+    StoreGoes,
+    LeaderLeaves,
+    Leave(usize, u64),
+    Gone(usize, u64),
     StartNode(usize),
     StartServer(usize),
     Trouble,
@@ -162,6 +166,17 @@
         fleet
     }
 
+    /// Takes the store away for everyone at a time from the start, for a while.
+    pub fn lose_store(&mut self, at: Duration, span: Duration) {
+        self.after(at, Happening::StoreGoes);
+        self.after(at + span, Happening::Heal(Cure::Store));
+    }
+
+    /// Tells the leader's process to leave.
+    pub fn leave_leader(&mut self, at: Duration) {
+        self.after(at, Happening::LeaderLeaves);
+    }
+
     /// Plays the schedule.
     pub fn play(&mut self) {
         let end = self.now + self.plan.troubled + self.plan.calm;
@@ -192,7 +207,11 @@
         for host in &mut self.nodes {
             if let Some(server) = &mut host.server {
                 server.age(now);
-                owned += server.holdings.iter().map(|holding| holding.held.keys.size()).sum::<u32>();
+                owned += server
+                    .holdings
+                    .iter()
+                    .map(|holding| holding.held.keys.size())
+                    .sum::<u32>();
             }
         }
         owned
@@ -205,11 +224,29 @@
     fn after(&mut self, delay: Duration, happening: Happening) {
         let place = self.happenings.len();
         self.happenings.push(Some(happening));
-        self.queue.push(Reverse((self.now + delay, place as u64, place)));
+        self.queue
+            .push(Reverse((self.now + delay, place as u64, place)));
     }
 
     fn happen(&mut self, happening: Happening) {
         match happening {
+            Happening::StoreGoes => self.store_down = true,
+            Happening::LeaderLeaves => {
+                let leads = |host: &Host| host.machine.as_ref().is_some_and(NodeMachine::leads);
+                if let Some(place) = self.nodes.iter().position(leads) {
+                    self.strike(Trouble::Leaves, place);
+                }
+            }
+            Happening::Leave(place, life) => {
+                self.step(place, life, Event::Shutdown, Happening::Leave(place, life));
+            }
+            Happening::Gone(place, life) => {
+                if self.nodes[place].life == life && self.nodes[place].machine.take().is_some() {
+                    self.nodes[place].held_up.clear();
+                    let delay = Duration::from_millis(100) + self.spread(1_000);
+                    self.after(delay, Happening::StartNode(place));
+                }
+            }
             Happening::StartNode(place) => self.start_node(place),
             Happening::StartServer(place) => self.start_server(place),
             Happening::Tick(place, life) => {
@@ -276,7 +313,10 @@
                 self.after(delay, Happening::StoreWrite(place, u64::MAX, end, record));
             }
             let delay = Duration::from_millis(1_500);
-            self.after(delay, Happening::WriteDone(place, life, AppendOutcome::Unknown));
+            self.after(
+                delay,
+                Happening::WriteDone(place, life, AppendOutcome::Unknown),
+            );
             return;
         }
         let outcome = self.store.append(end, record);
@@ -320,14 +360,22 @@
             return;
         }
         let born = self.now.0 / 1_000_000;
-        host.server = Some(FakeServer::new(&format!("server-{place}"), born, service(place)));
+        host.server = Some(FakeServer::new(
+            &format!("server-{place}"),
+            born,
+            service(place),
+        ));
         let delay = self.spread(300);
         self.after(delay, Happening::Heartbeat(place, born));
     }
 
     fn heartbeat(&mut self, place: usize, born: u64) {
         let now = self.now;
-        let Some(server) = self.nodes[place].server.as_mut().filter(|server| server.life.born == born) else {
+        let Some(server) = self.nodes[place]
+            .server
+            .as_mut()
+            .filter(|server| server.life.born == born)
+        else {
             return;
         };
         let heartbeat = server.heartbeat(now);
@@ -339,7 +387,10 @@
         if self.traced {
             let holds = tracing::ranges(&heartbeat.holds);
             let sequence = heartbeat.sequence;
-            println!("{} server-{place} beat {sequence} heard in {delay:?} {holds}", self.now);
+            println!(
+                "{} server-{place} beat {sequence} heard in {delay:?} {holds}",
+                self.now
+            );
         }
         self.after(delay, Happening::Heard(place, heartbeat));
         let next = HEARTBEAT + self.spread(60);
@@ -349,13 +400,20 @@
     fn answered(&mut self, place: usize, born: u64, sequence: u64, answer: &HeartbeatAnswer) {
         let now = self.now;
         let work = self.spread(300);
-        let Some(server) = self.nodes[place].server.as_mut().filter(|server| server.life.born == born) else {
+        let Some(server) = self.nodes[place]
+            .server
+            .as_mut()
+            .filter(|server| server.life.born == born)
+        else {
             return;
         };
         let releasing = server.answer(now, sequence, answer, work);
         self.check(place);
         if releasing {
-            let heartbeat = self.nodes[place].server.as_mut().map(|server| server.heartbeat(now));
+            let heartbeat = self.nodes[place]
+                .server
+                .as_mut()
+                .map(|server| server.heartbeat(now));
             if let Some(heartbeat) = heartbeat {
                 let delay = Duration::from_millis(60) + self.spread(40);
                 self.after(delay, Happening::Heard(place, heartbeat));
@@ -395,7 +453,11 @@
 
     fn act(&mut self, place: usize, life: u64, heard: Option<(u64, u64)>, action: Action) {
         if self.traced {
-            println!("{} node-{place}@{life} {heard:?} {}", self.now, tracing::line(&action));
+            println!(
+                "{} node-{place}@{life} {heard:?} {}",
+                self.now,
+                tracing::line(&action)
+            );
         }
         match action {
             Action::Send(to, message) => self.send(place, to, &message),
@@ -428,7 +490,10 @@
                 true => self.spread(4_000),
                 false => self.spread(3),
             };
-            self.after(delay, Happening::Datagram(target, address(from), message.clone()));
+            self.after(
+                delay,
+                Happening::Datagram(target, address(from), message.clone()),
+            );
         }
     }
 
@@ -444,7 +509,12 @@
             return;
         };
         for holding in &server.holdings {
-            for (other, host) in self.nodes.iter().enumerate().filter(|(other, _)| *other != place) {
+            for (other, host) in self
+                .nodes
+                .iter()
+                .enumerate()
+                .filter(|(other, _)| *other != place)
+            {
                 let others = host.server.iter().flat_map(|server| &server.holdings);
                 for theirs in others {
                     if let Some(keys) = theirs.held.keys.common(&holding.held.keys) {
@@ -463,10 +533,15 @@
             .collect();
         for (keys, fence) in granted {
             // A sample of keys is enough: ranges have ends.
-            for key in [keys.first, keys.first + (keys.last - keys.first) / 2, keys.last] {
+            for key in [
+                keys.first,
+                keys.first + (keys.last - keys.first) / 2,
+                keys.last,
+            ] {
                 let highest = self.highest.entry(key).or_default();
                 if fence < *highest {
-                    self.problem = Some(format!("{now}: key {key} falls from {highest} to {fence}"));
+                    self.problem =
+                        Some(format!("{now}: key {key} falls from {highest} to {fence}"));
                 }
                 self.grants += u64::from(fence > *highest);
                 *highest = fence.max(*highest);
@@ -479,7 +554,14 @@
         if self.now.since(start) > self.plan.troubled {
             return;
         }
-        let kinds = [Trouble::Kills, Trouble::Power, Trouble::Cuts, Trouble::Store, Trouble::Freezes];
+        let kinds = [
+            Trouble::Kills,
+            Trouble::Leaves,
+            Trouble::Power,
+            Trouble::Cuts,
+            Trouble::Store,
+            Trouble::Freezes,
+        ];
         let kind = match self.plan.trouble {
             Trouble::Everything => kinds[self.random.random_range(0..kinds.len())],
             kind => kind,
@@ -509,10 +591,21 @@
                 let delay = Duration::from_millis(100) + self.spread(1_500);
                 self.after(delay, Happening::StartNode(place));
             }
+            Trouble::Leaves => {
+                let life = self.nodes[place].life;
+                self.step(place, life, Event::Shutdown, Happening::Leave(place, life));
+                let delay = Duration::from_millis(2_500) + self.spread(1_500);
+                self.after(delay, Happening::Gone(place, life));
+            }
             Trouble::Power => {
                 // Some servers that can hold keys are left in any case.
                 let keyed = |(place, host): (usize, &Host)| !host.gone && service(place) == KEYED;
-                let alive = self.nodes.iter().enumerate().filter(|host| keyed(*host)).count();
+                let alive = self
+                    .nodes
+                    .iter()
+                    .enumerate()
+                    .filter(|host| keyed(*host))
+                    .count();
                 let host = &mut self.nodes[place];
                 host.machine = None;
                 host.held_up.clear();
@@ -591,7 +684,11 @@
 }
 
 fn service(place: usize) -> &'static str {
-    if place.is_multiple_of(3) { OTHER } else { KEYED }
+    if place.is_multiple_of(3) {
+        OTHER
+    } else {
+        KEYED
+    }
 }
 
 fn intent() -> OperatorsIntent {
@@ -606,8 +703,12 @@
         version: 1,
         ..RoutingConfig::default()
     };
-    config.services.insert(KEYED.parse().unwrap(), settings(true));
-    config.services.insert(OTHER.parse().unwrap(), settings(false));
+    config
+        .services
+        .insert(KEYED.parse().unwrap(), settings(true));
+    config
+        .services
+        .insert(OTHER.parse().unwrap(), settings(false));
     OperatorsIntent {
         offset: 1,
         config: Some(Arc::new(config)),
--- a/crates/mesh/tests/ownership_support/tracing.rs
+++ b/crates/mesh/tests/ownership_support/tracing.rs
@@ -6,7 +6,9 @@
 use quetzalrack_mesh::ownership::PeerMessage;
 
 pub fn ranges(ranges: &[HeldRange]) -> String {
-    let texts = ranges.iter().map(|held| format!("{}#{}", held.keys, held.fence));
+    let texts = ranges
+        .iter()
+        .map(|held| format!("{}#{}", held.keys, held.fence));
     texts.collect::<Vec<_>>().join(" ")
 }
 
@@ -19,7 +21,10 @@
             beat.order,
             beat.left,
             beat.known,
-            beat.member.server.as_ref().map(|server| (server.settled, server.silent)),
+            beat.member
+                .server
+                .as_ref()
+                .map(|server| (server.settled, server.silent)),
             ranges(&beat.holding)
         ),
         Action::Send(to, PeerMessage::Order(order)) => format!(
@@ -29,7 +34,8 @@
             order.stamp,
             order.lease,
             order.assignment.as_ref().map(|assignment| {
-                let held: Vec<HeldRange> = assignment.ranges.iter().map(|range| range.held).collect();
+                let held: Vec<HeldRange> =
+                    assignment.ranges.iter().map(|range| range.held).collect();
                 ranges(&held)
             })
         ),
--- a/crates/mesh/tests/ownership_support/trouble.rs
+++ b/crates/mesh/tests/ownership_support/trouble.rs
@@ -7,6 +7,8 @@
     Calm,
     /// Processes are killed and start again.
     Kills,
+    /// Processes are told to leave, do so after a while, and start again.
+    Leaves,
     /// Hosts lose power, some for good; the server's next life holds nothing.
     Power,
     /// Nodes are cut from each other or from the store, one way or both.
--- a/crates/mesh/tests/retry_budget.rs
+++ b/crates/mesh/tests/retry_budget.rs
@@ -19,8 +19,9 @@
 /// The called service then counts both: the second attempts at calls, and the calls of second runs.
 #[test]
 fn repeated_calls() {
-    let mut proofs: Vec<RetryBudget> =
-        (0..NODES).map(|_| RetryBudget::new(RATIO, WINDOW, SLACK)).collect();
+    let mut proofs: Vec<RetryBudget> = (0..NODES)
+        .map(|_| RetryBudget::new(RATIO, WINDOW, SLACK))
+        .collect();
     let mut calls = proofs.clone();
     let (mut repeats, mut first) = (0_u32, 0_u32);
     for ms in 0..10_000 {
@@ -36,7 +37,10 @@
         }
     }
     let allowed = f64::from(first) * RATIO + SLACK;
-    assert!(f64::from(repeats) <= allowed, "{repeats} repeats, {allowed} allowed");
+    assert!(
+        f64::from(repeats) <= allowed,
+        "{repeats} repeats, {allowed} allowed"
+    );
 }
 
 /// A service that answers everything again pays for its failures at once.
--- a/crates/rack/src/command/rack_command.rs
+++ b/crates/rack/src/command/rack_command.rs
@@ -63,7 +63,9 @@
             event = "start", node = host.node.as_str(), zone = host.zone.as_str(),
             service = host.service.as_str(), pid = std::process::id(); ""
         );
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
         let runtime = runtime.into_diagnostic()?;
         let node = host.node.clone();
         let ended = runtime.block_on(follow(host, self.metrics, path));
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -99,7 +99,9 @@
 
     /// Runs until the process ends.
     pub fn run(self) -> io::Result<()> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
         LocalSet::new().block_on(&runtime, self.serve())
     }
 
@@ -162,9 +164,8 @@
             let view = board.view();
             let known = request.uri().path() == READINESS_PATH;
             // Ready means that a client's request can be placed now.
-            let ready = view.routes.is_some()
-                && !view.directory.members.is_empty()
-                && !board.is_leaving();
+            let ready =
+                view.routes.is_some() && !view.directory.members.is_empty() && !board.is_leaving();
             let status = match (known, ready) {
                 (false, _) => status(StatusCode::NOT_FOUND),
                 (true, false) => status(StatusCode::SERVICE_UNAVAILABLE),
--- a/crates/rack/src/control/intent_reader.rs
+++ b/crates/rack/src/control/intent_reader.rs
@@ -50,7 +50,8 @@
                 false => self.store.newest(OPERATORS_TOPIC).await,
             };
             let reached = outcome != ReadOutcome::Unavailable;
-            self.metrics.store_call("intent", if reached { "ok" } else { "failed" });
+            self.metrics
+                .store_call("intent", if reached { "ok" } else { "failed" });
             if reached == away {
                 away = !reached;
                 let event = if away { "store_lost" } else { "store_regained" };
@@ -108,7 +109,10 @@
         for record in records {
             match parse_record(&record) {
                 Ok(IntentChange::Config(config)) => {
-                    if self.version(intent).is_none_or(|known| config.version > known) {
+                    if self
+                        .version(intent)
+                        .is_none_or(|known| config.version > known)
+                    {
                         intent.config = Some(Arc::new(config));
                     }
                 }
--- a/crates/rack/src/control/peer_intent.rs
+++ b/crates/rack/src/control/peer_intent.rs
@@ -37,7 +37,8 @@
                 return;
             }
         };
-        let version = |intent: &OperatorsIntent| intent.config.as_ref().map(|config| config.version);
+        let version =
+            |intent: &OperatorsIntent| intent.config.as_ref().map(|config| config.version);
         let newer = {
             let known = self.intent.borrow();
             told.offset > known.offset && version(&told) >= version(&known)
--- a/crates/rack/src/control/server_port.rs
+++ b/crates/rack/src/control/server_port.rs
@@ -31,7 +31,10 @@
 }
 
 impl ServerPort {
-    pub(super) async fn answer(self: Rc<Self>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    pub(super) async fn answer(
+        self: Rc<Self>,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
         let Some(call) = ServerCall::parse(request.method(), request.uri().path()) else {
             return status(StatusCode::NOT_FOUND);
         };
--- a/crates/rack/src/control/store_calls.rs
+++ b/crates/rack/src/control/store_calls.rs
@@ -69,7 +69,10 @@
 
     fn decode(&self, _asked: Moment, records: &[KeyedRecord], end: u64) -> LeaderRead {
         let record = records.iter().rev().find(|record| record.key == LEADER_KEY);
-        match record.map(|record| LeaderRecord::decode(&record.value)).transpose() {
+        match record
+            .map(|record| LeaderRecord::decode(&record.value))
+            .transpose()
+        {
             Ok(record) => LeaderRead::Newest(record, end),
             Err(error) => {
                 self.metrics.unreadable("leader_record");
--- a/crates/rack/src/logging/limits.rs
+++ b/crates/rack/src/logging/limits.rs
@@ -31,7 +31,10 @@
 
     /// Returns, once a span, how many lines of each kind were left out.
     pub fn drain(&mut self, now: Instant) -> Vec<(String, u32)> {
-        if self.since.is_none_or(|since| now.duration_since(since) < SPAN) {
+        if self
+            .since
+            .is_none_or(|since| now.duration_since(since) < SPAN)
+        {
             return Vec::new();
         }
         self.since = None;
--- a/crates/rack/src/logging/line_writer.rs
+++ b/crates/rack/src/logging/line_writer.rs
@@ -114,7 +114,12 @@
         let mut fields = Fields::default();
         // A source that can't be visited leaves its fields out; the message is there all the same.
         record.key_values().visit(&mut fields).ok();
-        let event = fields.0.get("event").and_then(Value::as_str).unwrap_or("message").to_owned();
+        let event = fields
+            .0
+            .get("event")
+            .and_then(Value::as_str)
+            .unwrap_or("message")
+            .to_owned();
         let left_out = self.limits().drain(now);
         for (kind, count) in left_out {
             let mut line = line("WARN", "lines_left_out");
@@ -147,7 +152,9 @@
 }
 
 fn line(level: &str, event: &str) -> Map<String, Value> {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let mut line = Map::new();
     line.insert("at".to_owned(), Value::from(since.as_secs_f64()));
     line.insert("level".to_owned(), Value::from(level));
@@ -159,11 +166,7 @@
 struct Fields(Map<String, Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(
-        &mut self,
-        key: Key<'kvs>,
-        value: LogValue<'kvs>,
-    ) -> Result<(), log::kv::Error> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: LogValue<'kvs>) -> Result<(), log::kv::Error> {
         let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
             (Some(number), _, _) => Value::from(number),
             (_, Some(number), _) => Value::from(number),
--- a/crates/rack/src/metrics/metrics_page.rs
+++ b/crates/rack/src/metrics/metrics_page.rs
@@ -73,13 +73,18 @@
 
     /// Counts a call to the metadata store, by its end.
     pub fn store_call(&self, call: &str, end: &str) {
-        self.add("store_calls_total", &format!("{{call=\"{call}\",end=\"{end}\"}}"));
+        self.add(
+            "store_calls_total",
+            &format!("{{call=\"{call}\",end=\"{end}\"}}"),
+        );
     }
 
     /// Sets how many connections to the backend server were opened.
     pub fn set_opened(&self, opened: u64) {
         let mut counts = self.counts();
-        counts.counters.insert("server_connections_opened_total".to_owned(), opened);
+        counts
+            .counters
+            .insert("server_connections_opened_total".to_owned(), opened);
     }
 
     /// Writes the page.
@@ -100,14 +105,21 @@
                 .ok();
             }
             let count = latencies.len();
-            writeln!(page, "quetzalrack_ingress_seconds_count{{route=\"{route}\"}} {count}").ok();
+            writeln!(
+                page,
+                "quetzalrack_ingress_seconds_count{{route=\"{route}\"}} {count}"
+            )
+            .ok();
         }
         page
     }
 
     fn add(&self, name: &str, labels: &str) {
         let mut counts = self.counts();
-        *counts.counters.entry(format!("{name}{labels}")).or_default() += 1;
+        *counts
+            .counters
+            .entry(format!("{name}{labels}"))
+            .or_default() += 1;
     }
 
     fn counts(&self) -> MutexGuard<'_, Counts> {
--- a/crates/rack/src/node/running_node.rs
+++ b/crates/rack/src/node/running_node.rs
@@ -86,10 +86,14 @@
     /// Returns how the node ended.
     pub fn end(self) -> Result<(), RunError> {
         if self.traffic.is_finished() {
-            self.traffic.join().map_err(|_| RunError::Broken("traffic"))??;
+            self.traffic
+                .join()
+                .map_err(|_| RunError::Broken("traffic"))??;
             return Ok(());
         }
-        self.control.join().map_err(|_| RunError::Broken("control"))??;
+        self.control
+            .join()
+            .map_err(|_| RunError::Broken("control"))??;
         Ok(())
     }
 }
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -122,8 +122,11 @@
         self.refresh(&view);
         let now = clock::now();
         let serving = view.server.as_ref().map(|server| server.serving.as_slice());
-        let held: Vec<KeyRange> =
-            serving.unwrap_or_default().iter().map(|(held, _)| held.keys).collect();
+        let held: Vec<KeyRange> = serving
+            .unwrap_or_default()
+            .iter()
+            .map(|(held, _)| held.keys)
+            .collect();
         self.metrics.set_opened(self.link.opened());
         TrafficReport {
             load: self.load(),
@@ -157,7 +160,8 @@
         let sent = clock::now();
         let (outcome, told) = self.link.send(server.address, &server.life.id, job).await;
         if let Some(slowness) = told.slowness {
-            self.slowness.set(u16::try_from(slowness).unwrap_or(u16::MAX));
+            self.slowness
+                .set(u16::try_from(slowness).unwrap_or(u16::MAX));
         }
         if let Outcome::Answered(_) = &outcome {
             slot.answered(&job.route, clock::now().since(sent));
@@ -174,7 +178,11 @@
         if server.draining || view.intent.evacuated.contains(&self.zone) {
             return Err(NotRun::Draining);
         }
-        let keyed = view.intent.config.as_ref().and_then(|config| config.services.get(&self.service));
+        let keyed = view
+            .intent
+            .config
+            .as_ref()
+            .and_then(|config| config.services.get(&self.service));
         match job.key {
             Some(key) if keyed.is_some_and(|service| service.keyed) => {
                 let holds = server.holds(clock::now(), key);
--- a/crates/rack/src/traffic/egress/server_link.rs
+++ b/crates/rack/src/traffic/egress/server_link.rs
@@ -79,7 +79,12 @@
     }
 
     /// Sends a job and returns what became of it.
-    pub(super) async fn send(&self, address: SocketAddr, server: &ServerId, job: &Job) -> (Outcome, Told) {
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        server: &ServerId,
+        job: &Job,
+    ) -> (Outcome, Told) {
         let now = clock::now();
         let patience = job.deadline.since(now);
         let request = write(job, server, patience);
@@ -104,7 +109,10 @@
                     self.refused_at.set(Some(now));
                 }
                 self.pool.forget(address);
-                (Outcome::NotRun(NotRun::Unreachable, AFTER_REFUSAL), Told::default())
+                (
+                    Outcome::NotRun(NotRun::Unreachable, AFTER_REFUSAL),
+                    Told::default(),
+                )
             }
             Ok(Err(ExchangeError::Broken(error))) => {
                 if error.is_parse() {
--- a/crates/rack/src/traffic/egress/turn.rs
+++ b/crates/rack/src/traffic/egress/turn.rs
@@ -61,7 +61,10 @@
     }
 
     /// Waits for a slot.
-    pub(super) async fn take(self: &Rc<Self>, job: &super::super::job::Job) -> Result<Slot, (NotRun, Duration)> {
+    pub(super) async fn take(
+        self: &Rc<Self>,
+        job: &super::super::job::Job,
+    ) -> Result<Slot, (NotRun, Duration)> {
         let ticket = self.next_ticket();
         let (sender, verdict) = oneshot::channel();
         self.waiting.borrow_mut().insert(ticket, sender);
@@ -123,7 +126,10 @@
     }
 
     fn end(&self, ticket: Ticket, answered: Option<(&RouteName, Duration)>) {
-        let actions = self.admission.borrow_mut().end(clock::now(), ticket, answered);
+        let actions = self
+            .admission
+            .borrow_mut()
+            .end(clock::now(), ticket, answered);
         self.act(actions);
     }
 
--- a/crates/rack/src/traffic/hop/hop_answer.rs
+++ b/crates/rack/src/traffic/hop/hop_answer.rs
@@ -22,12 +22,17 @@
     let load = report.load.unwrap_or_default();
     let (word, detail, response) = match report.outcome {
         Outcome::Answered(answer) => (ANSWERED, String::new(), answer),
-        Outcome::NotRun(reason, back) => {
-            (NOT_RUN, format!(" {reason} {}", back.as_millis()), refusal())
-        }
+        Outcome::NotRun(reason, back) => (
+            NOT_RUN,
+            format!(" {reason} {}", back.as_millis()),
+            refusal(),
+        ),
         Outcome::Lost(lost) => (LOST, format!(" {lost}"), refusal()),
     };
-    let text = format!("{word} {} {} {}{detail}", load.busy, load.limit, load.slowness);
+    let text = format!(
+        "{word} {} {} {}{detail}",
+        load.busy, load.limit, load.slowness
+    );
     let mut response = response.map(Full::new);
     // The words are all plain ASCII.
     if let Ok(value) = HeaderValue::from_str(&text) {
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -53,12 +53,15 @@
             return unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO));
         };
         let patience = job.deadline.since(now) + WAY_BACK;
-        let exchange = self.pool.exchange(address, request, LIMITS.idle, |answer: &Response<_>| {
-            !answer.headers().contains_key(http::header::CONNECTION)
-        });
+        let exchange = self
+            .pool
+            .exchange(address, request, LIMITS.idle, |answer: &Response<_>| {
+                !answer.headers().contains_key(http::header::CONNECTION)
+            });
         match tokio::time::timeout(patience, exchange).await {
-            Ok(Ok(answer)) => hop_answer::read(answer)
-                .unwrap_or_else(|| unloaded(Outcome::Lost(Lost::Foreign))),
+            Ok(Ok(answer)) => {
+                hop_answer::read(answer).unwrap_or_else(|| unloaded(Outcome::Lost(Lost::Foreign)))
+            }
             Ok(Err(ExchangeError::Dial(_))) => {
                 unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO))
             }
--- a/crates/rack/src/traffic/hop/hop_request.rs
+++ b/crates/rack/src/traffic/hop/hop_request.rs
@@ -32,7 +32,9 @@
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = job.headers.clone();
-    request.headers_mut().insert(JOB_HEADER, HeaderValue::from_str(&text).ok()?);
+    request
+        .headers_mut()
+        .insert(JOB_HEADER, HeaderValue::from_str(&text).ok()?);
     Some(request)
 }
 
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -66,10 +66,7 @@
         connection.await.ok();
     }
 
-    async fn answer(
-        self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
         if request.uri().path() == INTENT_PATH {
             return Ok(self.intent());
         }
--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -83,13 +83,12 @@
         }
     }
 
-    async fn answer(
-        self,
-        request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
         let mut answer = self.ingress.serve(request).await.map(Full::new);
         if self.board.is_leaving() {
-            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            answer
+                .headers_mut()
+                .insert(CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(answer)
     }
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -140,7 +140,11 @@
         self.budget(&intake.job.service, RetryBudget::count);
         let mut answer = self.place(&intake).await;
         let status = answer.status().as_u16();
-        self.metrics.answered(intake.route.name.as_str(), status, clock::now().since(arrived));
+        self.metrics.answered(
+            intake.route.name.as_str(),
+            status,
+            clock::now().since(arrived),
+        );
         strip(answer.headers_mut());
         answer
     }
@@ -154,7 +158,10 @@
         };
         // A route names one service at least, and the wheel returns a place among them.
         let part = route.services.get(place).or_else(|| route.services.first());
-        part.map_or_else(|| self.settings.service.clone(), |part| part.service.clone())
+        part.map_or_else(
+            || self.settings.service.clone(),
+            |part| part.service.clone(),
+        )
     }
 
     fn budget<F, T>(&self, service: &ServiceName, use_it: F) -> T
@@ -211,7 +218,9 @@
             return false;
         }
         // Either the table changes, or the same look is repeated a little later.
-        tokio::time::timeout(OWNER_LOOK, self.board.changed()).await.ok();
+        tokio::time::timeout(OWNER_LOOK, self.board.changed())
+            .await
+            .ok();
         true
     }
 
--- a/crates/rack/src/traffic/job.rs
+++ b/crates/rack/src/traffic/job.rs
@@ -44,6 +44,9 @@
 impl Job {
     /// Returns the attempt's id as text, for the log.
     pub(super) fn name(&self) -> &str {
-        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("none")
+        self.id
+            .as_ref()
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or("none")
     }
 }
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -63,7 +63,9 @@
 
     /// Serves until the process was told to leave and its work is done.
     pub fn run(self) -> io::Result<()> {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
         LocalSet::new().block_on(&runtime, self.serve())
     }
 
--- a/crates/rack/src/traffic/wire/dial.rs
+++ b/crates/rack/src/traffic/wire/dial.rs
@@ -44,7 +44,10 @@
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(SILENCE))?;
-    let keepalive = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     Ok(stream)
 }
--- a/crates/rack/src/traffic/wire/listen.rs
+++ b/crates/rack/src/traffic/wire/listen.rs
@@ -15,7 +15,11 @@
 
 /// Listens at an address.
 pub(in crate::traffic) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -134,8 +134,12 @@
         let longest = idle.min(self.limits.idle);
         let mut all = self.idle.borrow_mut();
         let kept = all.get_mut(&address)?;
-        kept.retain(|idle| now.since(idle.since) < self.limits.idle && !idle.connection.sender.is_closed());
-        let newest = kept.last().filter(|newest| now.since(newest.since) < longest)?;
+        kept.retain(|idle| {
+            now.since(idle.since) < self.limits.idle && !idle.connection.sender.is_closed()
+        });
+        let newest = kept
+            .last()
+            .filter(|newest| now.since(newest.since) < longest)?;
         if !newest.connection.sender.is_ready() {
             return None;
         }
