--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -17,6 +17,7 @@
 use crate::traffic::wire::ExchangeError;
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
+use crate::traffic::wire::dial;
 
 /// Connections between nodes: a host in reach answers within a few milliseconds, and one that does
 /// not should cost a request little of its time. Nodes keep idle ones for longer than this.
@@ -25,6 +26,9 @@
     idle: Duration::from_secs(20),
     kept: 16,
 };
+/// How long a node may take to accept a connection that only asks whether it is there; a busy one
+/// may be slow, and giving up on it costs what it works on.
+const REACHED: Duration = Duration::from_millis(400);
 /// How much longer than the job's own time its answer is waited for: the other node gives its own
 /// answer at the end of that time, and it needs the way back.
 const WAY_BACK: Duration = Duration::from_millis(20);
@@ -42,6 +46,11 @@
         }
     }
 
+    /// Tells whether a node takes connections.
+    pub(in crate::traffic) async fn reaches(&self, address: SocketAddr) -> bool {
+        dial(address, REACHED).await.is_ok()
+    }
+
     /// Sends a job to the node at `address` and returns what became of it there.
     pub(in crate::traffic) async fn send(&self, address: SocketAddr, job: &Job) -> Report {
         let now = clock::now();
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -239,7 +239,7 @@
         let sending = self.hops.send(entry.member.traffic, job);
         let report = tokio::select! {
             report = sending => report,
-            () = placing::silence(&self.board, node), if entry.heard => Report {
+            () = placing::silence(&self.board, &self.hops, node) => Report {
                 outcome: Outcome::Lost(Lost::Broken),
                 load: None,
             },
--- a/crates/rack/src/traffic/ingress/placing.rs
+++ b/crates/rack/src/traffic/ingress/placing.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::sync::Arc;
+use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::time::Moment;
@@ -10,8 +11,12 @@
 
 use crate::shared::Board;
 use crate::shared::NodeView;
+use crate::traffic::hop::HopClient;
 use crate::traffic::job::Job;
 
+/// How soon a node that is reached though the leader does not hear it is tried again.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
+
 /// Says where a job can go.
 pub(super) enum Place {
     /// To this node.
@@ -47,14 +52,18 @@
     }
 }
 
-/// Waits until a node is no longer heard by the leader; what was sent there has no answer to come.
-pub(super) async fn silence(board: &Arc<Board>, node: &NodeName) {
+/// Waits until a node is surely out of reach; what was sent there has no answer to come.
+///
+/// That the leader does not hear it is a hint only: beats are lost, and leaders change. A request
+/// that was given up for the hint alone would be cut while its server works on it.
+pub(super) async fn silence(board: &Arc<Board>, hops: &HopClient, node: &NodeName) {
     loop {
         let view = board.view();
         let entry: Option<&DirectoryEntry> = view.directory.members.get(node);
-        if entry.is_some_and(|entry| !entry.heard) {
-            return;
+        match entry.filter(|entry| !entry.heard) {
+            Some(entry) if !hops.reaches(entry.member.traffic).await => return,
+            Some(_) => tokio::time::sleep(LOOK_AGAIN).await,
+            None => board.changed().await,
         }
-        board.changed().await;
     }
 }
--- a/crates/rack/src/traffic/wire/dial.rs
+++ b/crates/rack/src/traffic/wire/dial.rs
@@ -32,7 +32,10 @@
 }
 
 /// Opens a connection within a time.
-pub(super) async fn dial(address: SocketAddr, patience: Duration) -> Result<TcpStream, DialError> {
+pub(in crate::traffic) async fn dial(
+    address: SocketAddr,
+    patience: Duration,
+) -> Result<TcpStream, DialError> {
     let opened = tokio::time::timeout(patience, TcpStream::connect(address)).await;
     let stream = match opened {
         Err(_) => return Err(DialError::Silent),
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -6,6 +6,7 @@
 mod watched_stream;
 
 pub(super) use dial::DialError;
+pub(super) use dial::dial;
 pub(super) use listen::listen;
 pub(super) use pool::ExchangeError;
 pub(super) use pool::Pool;
