mesh: moves follow the mean load; a range is served until its server has released it

Change: load as a mean over about two seconds, two seconds between moves, and a range that is to be released keeps its owner in the table.

--- a/crates/mesh/src/ownership/leader/moves.rs
+++ b/crates/mesh/src/ownership/leader/moves.rs
@@ -24,8 +24,8 @@
 /// The longest wait for that.
 const GATHER_MOST: Duration = Duration::from_secs(4);
 /// The time from one move for the sake of balance to the next. A move takes about a second, and its
-/// effect shows in the load a second later.
-const MOVE_PAUSE: Duration = Duration::from_millis(1_200);
+/// effect shows in the mean load a second or two later.
+const MOVE_PAUSE: Duration = Duration::from_millis(2_000);
 
 /// Follows when a service's keys were moved.
 #[derive(Clone, Debug)]
@@ -243,7 +243,7 @@
                 keys: own.map(|row| row.keys.size()).sum(),
                 slots: server.map_or(1, |server| u32::from(server.slots)).max(1),
                 cold: server.is_some_and(|server| server.cold),
-                load: peer.map(|peer| peer.load).unwrap_or_default(),
+                fill: peer.map(|peer| peer.fill).unwrap_or_default(),
                 key_loads: peer.map(|peer| peer.key_loads.clone()).unwrap_or_default(),
             }
         };
--- a/crates/mesh/src/ownership/leader/peer.rs
+++ b/crates/mesh/src/ownership/leader/peer.rs
@@ -13,6 +13,10 @@
 /// How long a node may be silent before others are told to avoid it: three of its beats.
 const SILENT: Duration = Duration::from_millis(1_300);
 
+/// The weight of a beat's load in the mean: that of one moment says little, and two seconds of full
+/// load show.
+const FILL_WEIGHT: f64 = 0.2;
+
 /// Is a node as its beats describe it.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -35,6 +39,8 @@
     pub(super) known: bool,
     pub(super) holding: Vec<HeldRange>,
     pub(super) load: NodeLoad,
+    /// How full its server was over the last seconds, as a share of its slots.
+    pub(super) fill: f64,
     pub(super) key_loads: Vec<KeyLoad>,
     /// The version of the member table that this entry's last change made.
     pub(super) changed: u64,
@@ -56,6 +62,7 @@
             known: false,
             holding: Vec::new(),
             load: NodeLoad::default(),
+            fill: 0.0,
             key_loads: Vec::new(),
             changed,
             intent: 0,
@@ -84,6 +91,8 @@
         self.known = beat.known;
         self.holding.clone_from(&beat.holding);
         self.load = beat.load;
+        let fill = f64::from(beat.load.busy) / f64::from(beat.load.limit.max(1));
+        self.fill += (fill - self.fill) * FILL_WEIGHT;
         if !beat.key_loads.is_empty() {
             self.key_loads.clone_from(&beat.key_loads);
         }
--- a/crates/mesh/src/ownership/leader/publishing.rs
+++ b/crates/mesh/src/ownership/leader/publishing.rs
@@ -6,7 +6,6 @@
 use quetzalrack_core::time::Moment;
 
 use super::leader_machine::Leader;
-use super::row::RowState;
 use crate::ownership::OwnedRange;
 use crate::ownership::TableUpdate;
 
@@ -99,7 +98,9 @@
         let mut owners: Vec<OwnedRange> = Vec::new();
         for (service, ledger) in &self.ledgers {
             for row in ledger.rows() {
-                let RowState::Held(tenure) = &row.state else {
+                // A server that is to release a range serves it until its next heartbeat is answered;
+                // sent elsewhere, or nowhere, its requests would wait a second for nothing.
+                let Some(tenure) = row.state.tenure() else {
                     continue;
                 };
                 match owners.last_mut() {
--- a/crates/mesh/src/placement/candidate.rs
+++ b/crates/mesh/src/placement/candidate.rs
@@ -1,10 +1,9 @@
 //! A backend server that may get keys.
 
 use crate::ownership::KeyLoad;
-use crate::ownership::NodeLoad;
 
 /// Describes a server for the choice of its keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Candidate {
     /// How many keys it has.
     pub keys: u32,
@@ -12,8 +11,8 @@
     pub slots: u32,
     /// Whether it is cold.
     pub cold: bool,
-    /// Its load.
-    pub load: NodeLoad,
+    /// How full it was over the last seconds: requests that run or wait, as a share of its slots.
+    pub fill: f64,
     /// The load of its keys, in the order of the keys.
     pub key_loads: Vec<KeyLoad>,
 }
--- a/crates/mesh/src/placement/pick_move.rs
+++ b/crates/mesh/src/placement/pick_move.rs
@@ -27,7 +27,7 @@
 /// Picks the narrowest run of keys that levels the fullest server with the emptiest, if one is too
 /// full. Narrow, because every moved key's work stops while it moves, and a hot range is narrow.
 pub fn pick_move(servers: &[Candidate]) -> Option<KeyMove> {
-    let fill = |server: &Candidate| f64::from(server.load.busy) / f64::from(server.slots.max(1));
+    let fill = |server: &Candidate| server.fill;
     let (from, full) = servers
         .iter()
         .enumerate()
