mesh: keys that move go to the server they were meant for; lost keys follow room

Change: a revocation names its next holder; free ranges are shared out by the room that servers have. Decisions on keys are logged.

--- a/crates/mesh/src/ownership/leader/handing.rs
+++ b/crates/mesh/src/ownership/leader/handing.rs
@@ -110,6 +110,7 @@
             // It may have lapsed just before.
             lapsed: Some(now),
             handover: range.handover.clone(),
+            to: None,
         });
     };
     let tenure = Tenure {
@@ -123,6 +124,7 @@
         true => RowState::Leaving {
             tenure,
             since: now.0,
+            to: None,
         },
         false => RowState::Held(tenure),
     }
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -57,6 +57,8 @@
     pub(super) intent: OperatorsIntent,
     /// When the leadership was handed to this leader, until it has an authority of its own.
     pub(super) starting: Option<Moment>,
+    /// Decisions for the log: what, and the inputs.
+    pub(super) notes: Vec<(&'static str, String)>,
 }
 
 /// Is what a node knows when its claim has succeeded.
@@ -116,6 +118,7 @@
             tables,
             intent,
             starting: None,
+            notes: Vec::new(),
         }
     }
 
@@ -132,6 +135,11 @@
         self.takeover.is_none()
     }
 
+    /// Takes the decisions that are to be logged.
+    pub(in crate::ownership) fn take_notes(&mut self) -> Vec<(&'static str, String)> {
+        std::mem::take(&mut self.notes)
+    }
+
     pub(in crate::ownership) fn record(&self) -> &LeaderRecord {
         &self.record
     }
@@ -247,9 +255,10 @@
                     row.state = RowState::Leaving {
                         tenure: tenure.clone(),
                         since: now.0,
+                        to: None,
                     };
                 }
-                RowState::Leaving { since, .. } => {
+                RowState::Leaving { since, to, .. } => {
                     let applied = beat.order.is_some_and(|stamp| stamp >= *since);
                     if applied && !held {
                         let freed = beat.freed.iter().rev();
@@ -258,6 +267,7 @@
                         row.state = RowState::Free(Freedom {
                             lapsed: None,
                             handover: freed.next().map(|freed| freed.handover.clone()),
+                            to: to.clone(),
                         });
                     }
                 }
@@ -277,6 +287,7 @@
                     row.state = RowState::Free(Freedom {
                         lapsed: Some(now),
                         handover: None,
+                        to: None,
                     });
                 }
             }
--- a/crates/mesh/src/ownership/leader/moves.rs
+++ b/crates/mesh/src/ownership/leader/moves.rs
@@ -123,6 +123,7 @@
                 row.state = RowState::Leaving {
                     tenure: tenure.clone(),
                     since: now.0,
+                    to: None,
                 };
             }
         }
@@ -133,25 +134,33 @@
         let Some(ledger) = self.ledgers.get(service) else {
             return;
         };
-        let free: Vec<(KeyRange, Option<Handover>)> = ledger
+        let free: Vec<(KeyRange, Freedom)> = ledger
             .rows()
             .iter()
             .filter_map(|row| match &row.state {
-                RowState::Free(Freedom { lapsed, handover })
-                    if lapsed.is_none_or(|lapsed| confirmed > lapsed) =>
-                {
-                    Some((row.keys, handover.clone()))
-                }
+                RowState::Free(freedom) => Some((row.keys, freedom.clone())),
                 _ => None,
             })
+            .filter(|(_, freedom)| freedom.lapsed.is_none_or(|lapsed| confirmed > lapsed))
             .collect();
-        if free.is_empty() {
+        let meant = |freedom: &Freedom| freedom.to.clone().filter(|to| targets.contains(to));
+        let (moved, left): (Vec<_>, Vec<_>) = free
+            .into_iter()
+            .partition(|(_, freedom)| meant(freedom).is_some());
+        for (keys, freedom) in moved {
+            if let Some(node) = meant(&freedom) {
+                self.grant(now, service, keys, &node, freedom.handover);
+            }
+        }
+        if left.is_empty() {
             return;
         }
         let candidates = self.candidates(service, targets);
-        let keys: Vec<KeyRange> = free.iter().map(|(keys, _)| *keys).collect();
+        let keys: Vec<KeyRange> = left.iter().map(|(keys, _)| *keys).collect();
         for (place, keys, target) in share_out(&keys, &candidates) {
-            let handover = free.get(place).and_then(|(_, handover)| handover.clone());
+            let handover = left
+                .get(place)
+                .and_then(|(_, freedom)| freedom.handover.clone());
             if let Some(node) = targets.get(target) {
                 self.grant(now, service, keys, node, handover);
             }
@@ -174,6 +183,8 @@
             return;
         };
         self.fence = self.fence.next();
+        let detail = format!("{service} {keys} to {node}, token {}", self.fence);
+        self.notes.push(("keys_granted", detail));
         let tenure = Tenure {
             node: node.clone(),
             server: Some(server),
@@ -210,6 +221,16 @@
         if let Some(clock) = self.clocks.get_mut(service) {
             clock.moved = now;
         }
+        let fill = |place: usize| candidates.get(place).map_or(0.0, |server| server.fill);
+        self.notes.push((
+            "keys_moved",
+            format!(
+                "{service} {} from {from}, fill {:.2}, the emptiest has {:.2}",
+                chosen.keys,
+                fill(chosen.from),
+                fill(chosen.to)
+            ),
+        ));
         let held: Vec<(KeyRange, Tenure)> = ledger
             .rows()
             .iter()
@@ -221,7 +242,8 @@
         let since = now.0;
         if let Some(ledger) = self.ledgers.get_mut(service) {
             for (keys, tenure) in held {
-                ledger.set(keys, RowState::Leaving { tenure, since });
+                let to = targets.get(chosen.to).cloned();
+                ledger.set(keys, RowState::Leaving { tenure, since, to });
             }
         }
     }
--- a/crates/mesh/src/ownership/leader/row.rs
+++ b/crates/mesh/src/ownership/leader/row.rs
@@ -29,6 +29,8 @@
         tenure: Tenure,
         /// The stamp of orders from which on the range is left out.
         since: u64,
+        /// For whom it is released, if that was decided.
+        to: Option<NodeName>,
     },
 }
 
@@ -41,6 +43,8 @@
     pub(super) lapsed: Option<Moment>,
     /// The last holder's word for the next.
     pub(super) handover: Option<Handover>,
+    /// For whom it was released, if that was decided.
+    pub(super) to: Option<NodeName>,
 }
 
 /// Says who holds a range, and how long at most.
--- a/crates/mesh/src/ownership/leader/takeover.rs
+++ b/crates/mesh/src/ownership/leader/takeover.rs
@@ -101,6 +101,7 @@
                 false => RowState::Leaving {
                     tenure,
                     since: now.0,
+                    to: None,
                 },
             };
             for keys in unknown_parts(ledger, &held) {
--- a/crates/mesh/src/ownership/node_machine.rs
+++ b/crates/mesh/src/ownership/node_machine.rs
@@ -184,6 +184,12 @@
             }
             Event::Shutdown => self.shut_down(now, &mut actions),
         }
+        if let Some(leader) = &mut self.leader {
+            let epoch = leader.record().epoch;
+            for (event, detail) in leader.take_notes() {
+                note(&mut actions, event, epoch, detail);
+            }
+        }
         if taking_over {
             self.note_completion(now, &mut actions);
         }
--- a/crates/mesh/src/placement/share_out.rs
+++ b/crates/mesh/src/placement/share_out.rs
@@ -6,10 +6,21 @@
 /// Ranges up to this size are given away whole: cutting them further gains nothing and makes rows.
 const WHOLE: u32 = 256;
 
-/// Shares free ranges out so that each server's number of keys follows its slots. Returns the place
+/// The fill at which a server has no room for more, as a share of its slots. A little above one:
+/// some requests wait on any busy server.
+const NO_ROOM: f64 = 1.2;
+/// The least share of its slots with which a server counts all the same.
+const LEAST: f64 = 0.1;
+
+/// Shares free ranges out so that each server's number of keys follows the room that it has: a lost
+/// server's keys must not all go to the one that has few keys because it is slow. Returns the place
 /// of the free range, the keys and the place of the server.
 pub fn share_out(free: &[KeyRange], servers: &[Candidate]) -> Vec<(usize, KeyRange, usize)> {
-    let slots: u32 = servers.iter().map(|server| server.slots).sum();
+    let room = |server: &Candidate| {
+        let share = (NO_ROOM - server.fill).clamp(LEAST, NO_ROOM);
+        (f64::from(server.slots) * share * 100.0) as u32
+    };
+    let slots: u32 = servers.iter().map(room).sum();
     let held: u32 = servers.iter().map(|server| server.keys).sum();
     let all: u32 = held + free.iter().map(KeyRange::size).sum::<u32>();
     if slots == 0 {
@@ -19,7 +30,7 @@
     let mut lacks: Vec<i64> = servers
         .iter()
         .map(|server| {
-            let share = u64::from(all) * u64::from(server.slots) / u64::from(slots);
+            let share = u64::from(all) * u64::from(room(server)) / u64::from(slots);
             i64::try_from(share).unwrap_or(i64::MAX) - i64::from(server.keys)
         })
         .collect();
