mesh, rack: one job a file where files had grown large

node_machine into seven files, the leader's settling and assigning apart, attempts and the stand-ins' texts in files of their own; an enum says why a request goes nowhere. No change of behaviour: the schedules and system tests pass as before.

--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -14,15 +14,10 @@
 use super::peer::Peer;
 use super::publishing::Tables;
 use super::record_keeping::RecordKeeper;
-use super::row::Freedom;
-use super::row::RowState;
 use super::takeover::Takeover;
 use crate::model::FencingToken;
-use crate::model::GrantedRange;
-use crate::model::HeldRange;
 use crate::model::OperatorsIntent;
 use crate::ownership::Action;
-use crate::ownership::Assignment;
 use crate::ownership::Beat;
 use crate::ownership::Directory;
 use crate::ownership::LeaderRecord;
@@ -224,166 +219,6 @@
         }
     }
 
-    /// Follows what a node's server has released, and what ended with an earlier life of it.
-    fn settle_rows(&mut self, now: Moment, node: &NodeName, beat: &Beat) {
-        let Some(ledger) = self.ledgers.get_mut(&beat.member.service) else {
-            return;
-        };
-        let server = beat.member.server.as_ref();
-        for row in ledger.rows_mut() {
-            let Some(tenure) = row.state.tenure().filter(|tenure| tenure.node == *node) else {
-                continue;
-            };
-            let held = beat
-                .holding
-                .iter()
-                .any(|held| held.keys.common(&row.keys).is_some());
-            let life = tenure.server.as_ref();
-            let reborn = server.is_some_and(|server| life.is_some_and(|life| *life != server.life));
-            match &row.state {
-                // One host runs one life of its server, so the earlier one is gone.
-                _ if reborn => row.state = RowState::free(),
-                // A restarted node that has not heard its server yet reports nothing held, and its
-                // server goes on holding what the node's earlier life granted.
-                _ if !beat.known => {}
-                RowState::Held(tenure) if server.is_none_or(|server| server.silent) => {
-                    row.state = RowState::Leaving {
-                        tenure: tenure.clone(),
-                        since: now.0,
-                        to: None,
-                    };
-                }
-                RowState::Leaving { since, to, .. } => {
-                    let applied = beat.order.is_some_and(|stamp| stamp >= *since);
-                    if applied && !held {
-                        let freed = beat.freed.iter().rev();
-                        let mut freed =
-                            freed.filter(|freed| freed.keys.common(&row.keys) == Some(row.keys));
-                        row.state = RowState::Free(Freedom {
-                            lapsed: None,
-                            handover: freed.next().map(|freed| freed.handover.clone()),
-                            to: to.clone(),
-                        });
-                    }
-                }
-                _ => {}
-            }
-        }
-    }
-
-    /// Ends what was not renewed in time.
-    fn lapse(&mut self, now: Moment) {
-        for ledger in self.ledgers.values_mut() {
-            for row in ledger.rows_mut() {
-                let Some(until) = row.state.tenure().map(|tenure| tenure.until) else {
-                    continue;
-                };
-                if now > until {
-                    row.state = RowState::Free(Freedom {
-                        lapsed: Some(now),
-                        handover: None,
-                        to: None,
-                    });
-                }
-            }
-            ledger.merge();
-        }
-    }
-
-    /// Accounts for the grants of earlier leaders.
-    fn account(&mut self, now: Moment) {
-        self.open_ledgers();
-        let Some(takeover) = &self.takeover else {
-            return;
-        };
-        // Without a configuration it is not known which services are divided by key.
-        let known = self.intent.config.is_some();
-        let over = known && takeover.is_over(now, &self.peers, &self.times);
-        for (service, ledger) in &mut self.ledgers {
-            takeover.adopt(now, &self.peers, &self.times, over, ledger, service);
-        }
-        if !over {
-            return;
-        }
-        for ledger in self.ledgers.values_mut() {
-            for row in ledger.rows_mut() {
-                if row.state == RowState::Unknown {
-                    row.state = RowState::free();
-                }
-            }
-            ledger.merge();
-        }
-        self.takeover = None;
-        let detail = format!("{} nodes heard", self.heard(now).count());
-        self.notes.push(("takeover_complete", detail));
-    }
-
-    fn open_ledgers(&mut self) {
-        let Some(config) = &self.intent.config else {
-            return;
-        };
-        let keyed = config.services.iter().filter(|(_, service)| service.keyed);
-        for (name, _) in keyed {
-            // A service that is first divided by key after all grants were accounted for has none.
-            let start = match self.takeover.is_some() {
-                true => RowState::Unknown,
-                false => RowState::free(),
-            };
-            self.ledgers
-                .entry(name.clone())
-                .or_insert_with(|| Ledger::new(start));
-        }
-    }
-
-    /// Returns all that a node's server is to hold, or nothing while it is not known what it does.
-    fn assignment(&self, node: &NodeName) -> Option<Assignment> {
-        self.intent.config.as_ref()?;
-        let peer = self.peers.get(node)?;
-        // A server that has fallen silent is told too: only an order that leaves a range out stops
-        // its node from granting it when the server speaks again.
-        let server = peer
-            .member
-            .server
-            .as_ref()
-            .filter(|server| server.settled)?;
-        let mut ranges = Vec::new();
-        if let Some(ledger) = self.ledgers.get(&peer.member.service) {
-            for row in ledger.rows() {
-                match &row.state {
-                    RowState::Unknown if holds(&peer.holding, row.keys) => return None,
-                    RowState::Held(tenure) if tenure.node == *node => ranges.push(GrantedRange {
-                        held: HeldRange {
-                            keys: row.keys,
-                            fence: tenure.fence,
-                        },
-                        handover: tenure.handover.clone(),
-                    }),
-                    _ => {}
-                }
-            }
-        }
-        Some(Assignment {
-            server: server.life.clone(),
-            ranges,
-        })
-    }
-
-    fn extend(&mut self, now: Moment, node: &NodeName) {
-        let lease = self.authority.left(now, &self.times);
-        let end = now + LeaseTimes::waited(lease);
-        for ledger in self.ledgers.values_mut() {
-            for row in ledger.rows_mut() {
-                match &mut row.state {
-                    // An earlier and longer lease still holds when this one is short.
-                    RowState::Held(tenure) if tenure.node == *node => {
-                        tenure.until = tenure.until.max(end);
-                    }
-                    _ => {}
-                }
-            }
-        }
-    }
-
     /// Speaks to nodes that are silent: one that has started while the store is away knows nobody.
     fn call_silent(&mut self, now: Moment, actions: &mut Vec<Action>) {
         if !self.keeper.is_call_due(now, self.times.suspect) {
@@ -411,7 +246,3 @@
             .map(|peer| &peer.member)
     }
 }
-
-fn holds(holding: &[HeldRange], keys: crate::model::KeyRange) -> bool {
-    holding.iter().any(|held| held.keys.common(&keys).is_some())
-}
--- a/crates/mesh/src/ownership/leader/mod.rs
+++ b/crates/mesh/src/ownership/leader/mod.rs
@@ -1,5 +1,6 @@
 //! What the leader does: it accounts for all keys, places them and renews leases.
 
+mod assigning;
 mod authority;
 mod handing;
 mod leader_machine;
@@ -9,6 +10,7 @@
 mod publishing;
 mod record_keeping;
 mod row;
+mod settling;
 mod takeover;
 
 pub(super) use leader_machine::Leader;
--- /dev/null
+++ b/crates/mesh/src/ownership/leader/settling.rs
@@ -0,0 +1,123 @@
+//! What becomes of ranges: released, lapsed, or accounted for after a takeover.
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::time::Moment;
+
+use super::leader_machine::Leader;
+use super::ledger::Ledger;
+use super::row::Freedom;
+use super::row::RowState;
+use crate::ownership::Beat;
+
+impl Leader {
+    /// Follows what a node's server has released, and what ended with an earlier life of it.
+    pub(super) fn settle_rows(&mut self, now: Moment, node: &NodeName, beat: &Beat) {
+        let Some(ledger) = self.ledgers.get_mut(&beat.member.service) else {
+            return;
+        };
+        let server = beat.member.server.as_ref();
+        for row in ledger.rows_mut() {
+            let Some(tenure) = row.state.tenure().filter(|tenure| tenure.node == *node) else {
+                continue;
+            };
+            let held = beat
+                .holding
+                .iter()
+                .any(|held| held.keys.common(&row.keys).is_some());
+            let life = tenure.server.as_ref();
+            let reborn = server.is_some_and(|server| life.is_some_and(|life| *life != server.life));
+            match &row.state {
+                // One host runs one life of its server, so the earlier one is gone.
+                _ if reborn => row.state = RowState::free(),
+                // A restarted node that has not heard its server yet reports nothing held, and its
+                // server goes on holding what the node's earlier life granted.
+                _ if !beat.known => {}
+                RowState::Held(tenure) if server.is_none_or(|server| server.silent) => {
+                    row.state = RowState::Leaving {
+                        tenure: tenure.clone(),
+                        since: now.0,
+                        to: None,
+                    };
+                }
+                RowState::Leaving { since, to, .. } => {
+                    let applied = beat.order.is_some_and(|stamp| stamp >= *since);
+                    if applied && !held {
+                        let freed = beat.freed.iter().rev();
+                        let mut freed =
+                            freed.filter(|freed| freed.keys.common(&row.keys) == Some(row.keys));
+                        row.state = RowState::Free(Freedom {
+                            lapsed: None,
+                            handover: freed.next().map(|freed| freed.handover.clone()),
+                            to: to.clone(),
+                        });
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Ends what was not renewed in time.
+    pub(super) fn lapse(&mut self, now: Moment) {
+        for ledger in self.ledgers.values_mut() {
+            for row in ledger.rows_mut() {
+                let Some(until) = row.state.tenure().map(|tenure| tenure.until) else {
+                    continue;
+                };
+                if now > until {
+                    row.state = RowState::Free(Freedom {
+                        lapsed: Some(now),
+                        handover: None,
+                        to: None,
+                    });
+                }
+            }
+            ledger.merge();
+        }
+    }
+
+    /// Accounts for the grants of earlier leaders.
+    pub(super) fn account(&mut self, now: Moment) {
+        self.open_ledgers();
+        let Some(takeover) = &self.takeover else {
+            return;
+        };
+        // Without a configuration it is not known which services are divided by key.
+        let known = self.intent.config.is_some();
+        let over = known && takeover.is_over(now, &self.peers, &self.times);
+        for (service, ledger) in &mut self.ledgers {
+            takeover.adopt(now, &self.peers, &self.times, over, ledger, service);
+        }
+        if !over {
+            return;
+        }
+        for ledger in self.ledgers.values_mut() {
+            for row in ledger.rows_mut() {
+                if row.state == RowState::Unknown {
+                    row.state = RowState::free();
+                }
+            }
+            ledger.merge();
+        }
+        self.takeover = None;
+        let detail = format!("{} nodes heard", self.heard(now).count());
+        self.notes.push(("takeover_complete", detail));
+    }
+
+    pub(super) fn open_ledgers(&mut self) {
+        let Some(config) = &self.intent.config else {
+            return;
+        };
+        let keyed = config.services.iter().filter(|(_, service)| service.keyed);
+        for (name, _) in keyed {
+            // A service that is first divided by key after all grants were accounted for has none.
+            let start = match self.takeover.is_some() {
+                true => RowState::Unknown,
+                false => RowState::free(),
+            };
+            self.ledgers
+                .entry(name.clone())
+                .or_insert_with(|| Ledger::new(start));
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/node_machine/finding.rs
@@ -0,0 +1,238 @@
+//! Finding a leader, and becoming one.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+use rand::Rng;
+
+use super::NodeMachine;
+use super::follower::Following;
+use super::note::note;
+use crate::boundary::AppendOutcome;
+use crate::ownership::Action;
+use crate::ownership::Epoch;
+use crate::ownership::LeaderRead;
+use crate::ownership::LeaderRecord;
+use crate::ownership::PeerMessage;
+use crate::ownership::election::Verdict;
+use crate::ownership::leader::Leader;
+use crate::ownership::leader::LeaderStart;
+
+/// How often other nodes are asked whether they hear the leader.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+
+impl NodeMachine {
+    pub(super) fn tick(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        if let Some(leader) = &mut self.leader {
+            leader.tick(now, actions);
+            return;
+        }
+        self.send_handoff(actions);
+        if self.hears_leader(now) {
+            self.search.stop();
+            return;
+        }
+        self.ask_others(now, actions);
+        let roll = self.random.random();
+        let node = self.profile.life.node.clone();
+        match self.search.step(now, &node, &self.times, roll) {
+            Verdict::Wait => {}
+            Verdict::Read => actions.push(Action::ReadLeader),
+            Verdict::Claim { end, last } => self.claim(now, end, last, actions),
+        }
+    }
+
+    pub(super) fn hears_leader(&self, now: Moment) -> bool {
+        self.following.as_ref().is_some_and(|following| {
+            let last = following.heard.unwrap_or(following.since);
+            !following.resigned && now.since(last) < self.times.suspect
+        })
+    }
+
+    pub(super) fn ask_others(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let Some(following) = &self.following else {
+            return;
+        };
+        if now.since(self.asked) < ASK_PAUSE {
+            return;
+        }
+        self.asked = now;
+        let record = &following.record;
+        let others = record
+            .voters
+            .iter()
+            .filter(|voter| voter.node != *self.me());
+        for voter in others {
+            let ask = PeerMessage::Ask {
+                from: self.profile.life.clone(),
+                epoch: record.epoch,
+            };
+            actions.push(Action::Send(voter.control, ask));
+        }
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        now: Moment,
+        end: u64,
+        last: Option<LeaderRecord>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.claim.is_some() || self.leaving {
+            return;
+        }
+        let epoch = last
+            .as_ref()
+            .map_or(Epoch::default(), |last| last.epoch)
+            .next_claim();
+        let voters = last
+            .as_ref()
+            .map(|last| last.voters.clone())
+            .unwrap_or_default();
+        let record = LeaderRecord {
+            epoch,
+            leader: self.profile.life.clone(),
+            control: self.profile.control,
+            voters,
+            complete: false,
+        };
+        note(actions, "claim", epoch, format!("topic ends at {end}"));
+        actions.push(Action::WriteLeader {
+            end,
+            record: record.clone(),
+        });
+        self.claim = Some(LeaderStart {
+            record,
+            last,
+            end: end + 1,
+            sent: now,
+        });
+    }
+
+    pub(super) fn learn_write(
+        &mut self,
+        now: Moment,
+        outcome: AppendOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(leader) = &mut self.leader {
+            leader.wrote(outcome);
+            return;
+        }
+        match outcome {
+            AppendOutcome::Appended => {
+                if let Some(start) = self.claim.take() {
+                    self.lead(now, start, actions);
+                }
+            }
+            AppendOutcome::Overtaken | AppendOutcome::Refused => {
+                self.claim = None;
+                self.search.stop();
+            }
+            // It may stand or land later; the next reads tell.
+            AppendOutcome::Unknown => self.search.stop(),
+        }
+    }
+
+    pub(super) fn lead(&mut self, now: Moment, start: LeaderStart, actions: &mut Vec<Action>) {
+        let epoch = start.record.epoch;
+        note(
+            actions,
+            "leads",
+            epoch,
+            format!("{} voters", start.record.voters.len()),
+        );
+        self.follow(now, start.record.clone(), actions);
+        let directory = &self.directory;
+        let intent = self.intent.clone();
+        let leader = Leader::new(now, start, directory, intent, self.times);
+        // The directory's versions are another leader's; its content is this one's start.
+        self.leader = Some(leader);
+        self.call_all(actions);
+    }
+
+    /// Tells all known nodes who leads.
+    pub(super) fn call_all(&self, actions: &mut Vec<Action>) {
+        let Some(leader) = &self.leader else {
+            return;
+        };
+        for (node, entry) in &self.directory.members {
+            if *node != self.profile.life.node {
+                let lead = PeerMessage::Lead(Box::new(leader.record().clone()));
+                actions.push(Action::Send(entry.member.control, lead));
+            }
+        }
+    }
+
+    pub(super) fn learn_read(
+        &mut self,
+        now: Moment,
+        asked: Moment,
+        read: LeaderRead,
+        actions: &mut Vec<Action>,
+    ) {
+        if let LeaderRead::Newest(Some(record), _) = &read {
+            self.read_epoch = self.read_epoch.max(Some(record.epoch));
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.read(asked, read);
+            return;
+        }
+        let LeaderRead::Newest(record, end) = read else {
+            self.search.failed();
+            return;
+        };
+        self.search.learn(now, record.clone(), end);
+        let Some(record) = record else {
+            return;
+        };
+        if let Some(start) = self
+            .claim
+            .take_if(|start| start.record.epoch <= record.epoch)
+            && start.record == record
+        {
+            // Our claim's answer was lost; it stood when this was asked.
+            let start = LeaderStart {
+                sent: asked,
+                end,
+                ..start
+            };
+            self.lead(now, start, actions);
+            return;
+        }
+        self.follow(now, record, actions);
+    }
+
+    /// Follows the leader of a later epoch.
+    pub(super) fn follow(&mut self, now: Moment, record: LeaderRecord, actions: &mut Vec<Action>) {
+        let epoch = record.epoch;
+        let known = self
+            .following
+            .as_ref()
+            .map(|following| following.record.epoch);
+        if known.is_some_and(|known| known >= epoch) {
+            return;
+        }
+        note(
+            actions,
+            "follows",
+            epoch,
+            format!("leader {}", record.leader),
+        );
+        // What the earlier leader answers from now on is void, or this node could count for both.
+        self.outstanding.clear();
+        self.directory.follow(epoch);
+        // A record that names an earlier process of this very node names nobody who lives.
+        let leader = &record.leader;
+        let dead = leader.node == self.profile.life.node && *leader != self.profile.life;
+        self.following = Some(Following {
+            record,
+            since: now,
+            heard: None,
+            stamp: None,
+            resigned: dead,
+        });
+        self.search.stop();
+        self.beat_due = now;
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -0,0 +1,171 @@
+//! Speaking to the leader, and obeying it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+
+use super::NodeMachine;
+use crate::ownership::Action;
+use crate::ownership::Beat;
+use crate::ownership::LeaseTimes;
+use crate::ownership::Member;
+use crate::ownership::Order;
+use crate::ownership::PeerMessage;
+use crate::ownership::holder::Lease;
+
+/// How soon a node speaks again when its leader does not know yet what its server holds.
+const SOON: Duration = Duration::from_millis(60);
+
+/// How many unanswered beats are remembered.
+const BEATS_KEPT: usize = 16;
+
+/// How often a peer that has read further in the operators' intent is asked for it.
+const FETCH_PAUSE: Duration = Duration::from_millis(300);
+
+/// How often the load of the keys is sent; it is the longest part of a beat.
+const KEY_LOADS_PAUSE: Duration = Duration::from_millis(1_000);
+
+impl NodeMachine {
+    pub(super) fn take(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        message: PeerMessage,
+        actions: &mut Vec<Action>,
+    ) {
+        match message {
+            PeerMessage::Beat(beat) => {
+                if let Some(leader) = &mut self.leader {
+                    leader.hear(now, from, &beat, actions);
+                }
+            }
+            PeerMessage::Order(order) => self.obey(now, &order, actions),
+            PeerMessage::Ask { from: _, epoch } => {
+                let hears = self.hears_leader(now) && self.epoch().is_some_and(|own| own >= epoch);
+                let say = PeerMessage::Say {
+                    from: self.profile.life.clone(),
+                    epoch,
+                    hears,
+                };
+                actions.push(Action::Send(from, say));
+            }
+            PeerMessage::Say { from, epoch, hears } => {
+                self.search.hear(now, from.node, epoch, hears);
+            }
+            PeerMessage::Lead(record) => {
+                if record.epoch > self.stood_down {
+                    self.follow(now, *record, actions);
+                }
+            }
+            PeerMessage::Handoff(handoff) => self.take_over(now, &handoff, actions),
+            PeerMessage::Resign { epoch } => {
+                if let Some(following) = &mut self.following
+                    && following.record.epoch == epoch
+                {
+                    following.resigned = true;
+                }
+            }
+        }
+    }
+
+    pub(super) fn obey(&mut self, now: Moment, order: &Order, actions: &mut Vec<Action>) {
+        let Some(following) = &mut self.following else {
+            return;
+        };
+        let known = following.record.epoch == order.epoch
+            && following.record.leader == order.leader
+            && order.life == self.profile.life.life;
+        let beat = self
+            .outstanding
+            .iter()
+            .find(|(sequence, _)| *sequence == order.sequence);
+        // An order that answers no outstanding beat is late, doubled, or meant for an earlier life.
+        let Some((sequence, sent)) = beat.copied().filter(|_| known) else {
+            return;
+        };
+        self.outstanding.retain(|(earlier, _)| *earlier > sequence);
+        following.heard = Some(now);
+        following.stamp = Some(order.stamp);
+        match &order.assignment {
+            Some(assignment) => {
+                let lease = Duration::from_millis(u64::from(order.lease));
+                self.lease = Some(Lease {
+                    until: sent + lease,
+                    assignment: assignment.clone(),
+                });
+            }
+            None if self.server.is_settled() => self.beat_due = self.beat_due.min(now + SOON),
+            None => {}
+        }
+        self.directory.apply(&order.update);
+        if order.intent > self.intent.offset && now.since(self.fetched) >= FETCH_PAUSE {
+            self.fetched = now;
+            let leader = self.directory.members.get(&order.leader.node);
+            actions.extend(leader.map(|entry| Action::FetchIntent(entry.member.traffic)));
+        }
+        actions.push(Action::Publish);
+    }
+
+    pub(super) fn beat(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        self.beat_due = now + self.times.beat;
+        let Some(following) = &self.following else {
+            return;
+        };
+        if self.stood_down >= following.record.epoch {
+            return;
+        }
+        let epoch = following.record.epoch;
+        let age = now.since(self.started);
+        let left = self
+            .lease
+            .as_ref()
+            .map_or(Duration::ZERO, |lease| lease.until.since(now));
+        let card = self.card(now);
+        let holding = self.server.holding(now);
+        let key_loads = match now.since(self.key_loads_sent) >= KEY_LOADS_PAUSE {
+            true => {
+                self.key_loads_sent = now;
+                self.key_loads.clone()
+            }
+            false => Vec::new(),
+        };
+        self.sequence += 1;
+        let beat = Beat {
+            epoch,
+            member: Member {
+                life: self.profile.life.clone(),
+                zone: self.profile.zone.clone(),
+                control: self.profile.control,
+                traffic: self.profile.traffic,
+                service: self.profile.service.clone(),
+                server: card.clone(),
+                leaving: self.leaving,
+            },
+            sequence: self.sequence,
+            order: following.stamp,
+            // A restarted process may have followed a later leader in its earlier life. It has read
+            // the store since, or every authority of that time has ended.
+            vouches: self.read_epoch.is_some_and(|read| read <= epoch)
+                || age >= self.times.lease * 2,
+            left: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            known: self.server.is_settled() || age >= LeaseTimes::waited(self.times.lease),
+            holding: holding.clone(),
+            freed: self.server.freed(now),
+            load: self.load,
+            key_loads,
+            table: self.directory.table,
+            owners: self.directory.version,
+            intent: self.intent.offset,
+        };
+        self.told = Some((card, holding));
+        for kept in [&mut self.outstanding, &mut self.sent] {
+            if kept.len() == BEATS_KEPT {
+                kept.pop_front();
+            }
+            kept.push_back((self.sequence, now));
+        }
+        let control = following.record.control;
+        actions.push(Action::Send(control, PeerMessage::Beat(Box::new(beat))));
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/ownership/node_machine/node_profile.rs
@@ -0,0 +1,28 @@
+//! What a node knows of itself.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use quetzalrack_core::ids::ServiceName;
+use quetzalrack_core::ids::ZoneName;
+
+use crate::ownership::NodeLife;
+
+/// Is what a node knows of itself at its start.
+#[derive(Clone, Debug)]
+pub struct NodeProfile {
+    /// The node and its process.
+    pub life: NodeLife,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it takes datagrams.
+    pub control: SocketAddr,
+    /// Where it takes requests from other nodes.
+    pub traffic: SocketAddr,
+    /// The service of its backend server.
+    pub service: ServiceName,
+    /// How often its backend server sends a heartbeat.
+    pub heartbeat: Duration,
+    /// Seeds what is chosen at random.
+    pub seed: u64,
+}
--- a/crates/mesh/tests/admission.rs
+++ b/crates/mesh/tests/admission.rs
@@ -1,4 +1,5 @@
 //! How requests wait at the backend server, and which are refused.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::time::Duration;
 
--- a/crates/mesh/tests/choice.rs
+++ b/crates/mesh/tests/choice.rs
@@ -1,4 +1,5 @@
 //! Which node gets a request that any server of its service may run.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::ServerId;
--- a/crates/mesh/tests/ownership_schedules.rs
+++ b/crates/mesh/tests/ownership_schedules.rs
@@ -1,4 +1,5 @@
 //! No key ever has two holders, whatever happens: random schedules of a whole fleet.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::time::Duration;
 
--- a/crates/mesh/tests/routing.rs
+++ b/crates/mesh/tests/routing.rs
@@ -1,4 +1,5 @@
 //! Which route and which service a request goes to.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::time::Duration;
 
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -26,6 +26,8 @@
 use super::answer_client::not_run;
 use super::answer_client::plain;
 use super::answer_client::strip;
+use super::attempts::Attempts;
+use super::attempts::NOWHERE;
 use super::intake;
 use super::intake::Intake;
 use super::placing;
@@ -43,13 +45,8 @@
 /// How many nodes are asked for one job: each refusal costs a way to and fro, and after three the
 /// service is full everywhere.
 const MOST_NODES: usize = 4;
-/// How long a key without an owner is waited for: keys that move have a new owner within about a
-/// second, and the wait costs the caller less than coming again.
-const OWNER_WAIT: Duration = Duration::from_millis(350);
 /// How long after a look at the table the next one follows while a key has no owner.
 const OWNER_LOOK: Duration = Duration::from_millis(40);
-/// When to come back if no server of the service is usable.
-const NOWHERE: Duration = Duration::from_millis(400);
 /// The time that an attempt needs at least to be worth making.
 const WORTHWHILE: Duration = Duration::from_millis(20);
 
@@ -75,20 +72,6 @@
     }
 }
 
-/// Follows the attempts of one request.
-struct Attempts {
-    tried: Vec<NodeName>,
-    /// How many reached a backend server.
-    sent: u32,
-    /// Whether one of them may have run.
-    lost: Option<Lost>,
-    /// A failure that a server answered.
-    failure: Option<Response<Bytes>>,
-    /// The last refusal.
-    refusal: (NotRun, Duration),
-    owner_until: Moment,
-}
-
 impl Ingress {
     pub(in crate::traffic) fn new(
         settings: HostSettings,
@@ -125,14 +108,14 @@
         let view = self.board.view();
         let route = match intake::find_route(&view, &parts) {
             Ok(route) => route,
-            Err(answer) => return answer,
+            Err(rejected) => return rejected.answer(),
         };
         let Some(config) = view.intent.config.clone() else {
             return not_run(NOWHERE);
         };
         let body = match intake::read_body(body, &config).await {
             Ok(body) => body,
-            Err(answer) => return answer,
+            Err(rejected) => return rejected.answer(),
         };
         let service = self.service(&route);
         let origin = self.settings.service.clone();
@@ -179,14 +162,7 @@
     async fn place(&self, intake: &Intake) -> Response<Bytes> {
         let job = &intake.job;
         let now = clock::now();
-        let mut attempts = Attempts {
-            tried: Vec::new(),
-            sent: 0,
-            lost: None,
-            failure: None,
-            refusal: (NotRun::NoServer, NOWHERE),
-            owner_until: now + OWNER_WAIT.min(job.deadline.since(now) / 3),
-        };
+        let mut attempts = Attempts::new(now, job);
         loop {
             let now = clock::now();
             if intake.due.since(now) < WORTHWHILE {
--- a/crates/rack/src/traffic/ingress/intake.rs
+++ b/crates/rack/src/traffic/ingress/intake.rs
@@ -1,5 +1,6 @@
 //! Reading a client's request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,41 +30,60 @@
 /// When to come back to a node that has no configuration yet.
 const NO_CONFIG: Duration = Duration::from_millis(500);
 
+/// Says why a request goes nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Rejected {
+    /// The node knows no configuration yet, so it can't know that a route is missing.
+    NoConfig,
+    /// The configuration has no such route.
+    NoRoute,
+    /// The body broke off.
+    BrokenBody,
+    /// The body is larger than clients may send.
+    LargeBody,
+}
+
+impl Rejected {
+    /// Returns what the client hears.
+    pub(super) fn answer(self) -> Response<Bytes> {
+        match self {
+            Self::NoConfig => not_run(NO_CONFIG),
+            Self::NoRoute => plain(StatusCode::NOT_FOUND),
+            Self::BrokenBody => plain(StatusCode::BAD_REQUEST),
+            Self::LargeBody => plain(StatusCode::PAYLOAD_TOO_LARGE),
+        }
+    }
+}
+
 /// Is a request that is ready to be placed.
 pub(super) struct Intake {
     pub(super) job: Job,
-    pub(super) route: std::sync::Arc<Route>,
-    /// Whether the answer is due because the route's time is over, not the client's patience.
+    pub(super) route: Arc<Route>,
+    /// When the answer is due: the route's time is over then, or the client's patience.
     pub(super) due: Moment,
 }
 
 /// Reads the head of a request and finds its route.
-pub(super) fn find_route(
-    view: &NodeView,
-    parts: &Parts,
-) -> Result<std::sync::Arc<Route>, Response<Bytes>> {
-    // A node that knows no configuration can't know that a route is missing.
-    let Some(routes) = &view.routes else {
-        return Err(not_run(NO_CONFIG));
-    };
+pub(super) fn find_route(view: &NodeView, parts: &Parts) -> Result<Arc<Route>, Rejected> {
+    let routes = view.routes.as_ref().ok_or(Rejected::NoConfig)?;
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let route = routes.find(host, parts.uri.path()).cloned();
-    route.ok_or_else(|| plain(StatusCode::NOT_FOUND))
+    route.ok_or(Rejected::NoRoute)
 }
 
 /// Reads a body whole, up to the configured size. A client that goes away leaves nothing to answer.
 pub(super) async fn read_body(
     mut body: Incoming,
     config: &RoutingConfig,
-) -> Result<Bytes, Response<Bytes>> {
+) -> Result<Bytes, Rejected> {
     let most = config.limits.body_bytes;
     let mut read = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| plain(StatusCode::BAD_REQUEST))?;
+        let frame = frame.map_err(|_| Rejected::BrokenBody)?;
         if let Ok(data) = frame.into_data() {
             if read.len() + data.len() > most {
-                return Err(plain(StatusCode::PAYLOAD_TOO_LARGE));
+                return Err(Rejected::LargeBody);
             }
             read.extend_from_slice(&data);
         }
@@ -76,7 +96,7 @@
     arrived: Moment,
     parts: Parts,
     body: Bytes,
-    route: std::sync::Arc<Route>,
+    route: Arc<Route>,
     service: ServiceName,
     origin: ServiceName,
 ) -> Intake {
--- a/crates/rack/tests/settings.rs
+++ b/crates/rack/tests/settings.rs
@@ -1,4 +1,5 @@
 //! What happens with settings that can't be used.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::fs;
 use std::process::Command;
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -1,4 +1,5 @@
 //! The real program beside stand-ins of the platform, as separate processes on loopback.
+#![allow(clippy::unwrap_used, clippy::panic)]
 
 mod explained;
 mod faults;
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -3,6 +3,7 @@
 
 mod stand_in_server;
 mod stand_in_store;
+mod texts;
 mod world;
 
 pub use world::World;
