--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -69,15 +69,19 @@
             .max_buf_size(limits.header_bytes.max(SMALLEST_BUFFER))
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
+        // A client that left while its request lay in a queue is looked for first, so that the
+        // request is not begun for nobody.
         tokio::select! {
+            biased;
+            () = departure.wait() => {}
             // A broken connection has no one to tell.
             _ = connection.as_mut() => {}
-            () = departure.wait() => {}
             _ = closing.wait_for(|closing| *closing) => {
                 connection.as_mut().graceful_shutdown();
                 tokio::select! {
-                    _ = connection.as_mut() => {}
+                    biased;
                     () = departure.wait() => {}
+                    _ = connection.as_mut() => {}
                 }
             }
         }
--- a/crates/rack/src/traffic/wire/watched_stream.rs
+++ b/crates/rack/src/traffic/wire/watched_stream.rs
@@ -68,8 +68,8 @@
 }
 
 impl Departure {
-    /// Waits until the client has closed the connection while bytes of it are still unread; with
-    /// none unread the library sees the end by itself.
+    /// Waits until the client has closed the connection. The library sees that by itself only if it
+    /// holds no bytes of a next request.
     pub(in crate::traffic) async fn wait(&self) {
         self.0.gone.notified().await;
     }
@@ -89,14 +89,11 @@
             Err(_) => state.failed = true,
         }
         let over = state.ended || state.failed;
-        let unread = !state.ahead.is_empty();
         if let Some(waker) = state.reader.take() {
             waker.wake();
         }
         if over {
-            if unread {
-                shared.gone.notify_one();
-            }
+            shared.gone.notify_one();
             return;
         }
     }
--- a/crates/rack/tests/system/faults.rs
+++ b/crates/rack/tests/system/faults.rs
@@ -169,3 +169,23 @@
     assert_eq!(got.status, Some(StatusCode::BAD_GATEWAY));
     assert_eq!(runs("lost-plain"), 2);
 }
+
+/// A client sends two requests at once and leaves while the first is worked on. The HTTP library has
+/// read the second already, so it looks for nothing more on the connection; the second was sent on
+/// to a server although nobody waited for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn client_leaves() {
+    let world = World::start(&["plain", "keyed"]).await;
+    world.settled(START).await;
+    world.hosts[0].server.set_work(Duration::from_millis(400));
+    world
+        .send_and_leave(
+            0,
+            &["leaves-first", "leaves-second"],
+            Duration::from_millis(150),
+        )
+        .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(world.hosts[0].server.runs("leaves-first"), 1);
+    assert_eq!(world.hosts[0].server.runs("leaves-second"), 0);
+}
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -22,6 +22,8 @@
 use rustix::process::kill_process;
 use serde_json::Value;
 use tempfile::TempDir;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use super::stand_in_server::StandInServer;
 use super::stand_in_store::StandInStore;
@@ -229,6 +231,17 @@
         }
     }
 
+    /// Sends requests behind one another on one connection, and closes it after a while.
+    pub async fn send_and_leave(&self, place: usize, ids: &[&str], stay: Duration) {
+        let mut stream = TcpStream::connect(self.hosts[place].clients).await.unwrap();
+        let requests = ids.iter().map(|id| {
+            format!("GET /plain/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n")
+        });
+        let text: String = requests.collect();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        tokio::time::sleep(stay).await;
+    }
+
     /// Waits until every key of a sample is served at every host.
     pub async fn settled(&self, patience: Duration) -> Duration {
         let started = Instant::now();
