--- a/crates/mesh/src/model/handover.rs
+++ b/crates/mesh/src/model/handover.rs
@@ -1,4 +1,4 @@
-//! The word of a key range's last holder.
+//! Handover tokens.
 
 use std::fmt;
 use std::str::FromStr;
--- a/crates/mesh/src/model/renewal.rs
+++ b/crates/mesh/src/model/renewal.rs
@@ -14,7 +14,7 @@
 pub struct GrantedRange {
     /// The keys and their token.
     pub held: HeldRange,
-    /// The word of the last holder, if it left one.
+    /// The last holder's handover token, if it left one.
     pub handover: Option<Handover>,
 }
 
--- a/crates/mesh/src/ownership/election/search.rs
+++ b/crates/mesh/src/ownership/election/search.rs
@@ -48,7 +48,8 @@
     read_at: Option<Moment>,
     reading: bool,
     claim_after: Option<Moment>,
-    deaf: BTreeMap<NodeName, (Epoch, Moment)>,
+    /// Nodes that said they don't hear the leader of an epoch, and when.
+    unheard: BTreeMap<NodeName, (Epoch, Moment)>,
 }
 
 #[derive(Clone, Debug)]
@@ -101,8 +102,8 @@
         hears: bool,
     ) {
         match hears {
-            true => self.deaf.remove(&node),
-            false => self.deaf.insert(node, (epoch, now)),
+            true => self.unheard.remove(&node),
+            false => self.unheard.insert(node, (epoch, now)),
         };
     }
 
@@ -154,12 +155,12 @@
         if now.since(known.since) >= times.refresh * MISSED_REFRESHES {
             return true;
         }
-        let deaf = record.voters.iter().filter(|voter| {
-            let said = self.deaf.get(&voter.node);
+        let unheard = record.voters.iter().filter(|voter| {
+            let said = self.unheard.get(&voter.node);
             let said =
                 said.is_some_and(|(epoch, at)| *epoch >= record.epoch && now.since(*at) < FRESH);
             voter.node == *me || said
         });
-        deaf.count() >= record.majority()
+        unheard.count() >= record.majority()
     }
 }
--- a/crates/mesh/src/ownership/event.rs
+++ b/crates/mesh/src/ownership/event.rs
@@ -22,7 +22,7 @@
 
 /// Is what a backend server called for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ServerWord {
+pub enum ServerEvent {
     /// Its heartbeat.
     Heartbeat(ServerHeartbeat),
     /// It leaves.
@@ -39,7 +39,7 @@
     /// A datagram came.
     Message(SocketAddr, PeerMessage),
     /// The backend server beside the node spoke, or fell silent.
-    Server(ServerWord),
+    Server(ServerEvent),
     /// A read of the leader's topic, begun at this stamp, has ended.
     Read(quetzalrack_core::time::Moment, LeaderRead),
     /// An append to the leader's topic has ended.
--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -193,7 +193,7 @@
         current
             .freed
             .extend(fresh.iter().map(|freed| (now, freed.clone())));
-        // Only the server's word that it has released a range ends an offer early. That a heartbeat
+        // Only the server's own report that it has released a range ends an offer early. That a heartbeat
         // does not list the range says nothing: it may have been sent before the answer came.
         let news: Vec<KeyRange> = fresh.iter().map(|freed| freed.keys).collect();
         current.offers = std::mem::take(&mut current.offers)
--- a/crates/mesh/src/ownership/leader/authority.rs
+++ b/crates/mesh/src/ownership/leader/authority.rs
@@ -28,7 +28,7 @@
     }
 
     /// Starts a leader to whom the leadership was handed on: it has no authority of its own yet, and
-    /// the voters' word counts for `storeless` from `written` on.
+    /// the voters' acknowledgements count for `storeless` from `written` on.
     pub(super) fn handed(written: Moment, storeless: Duration, times: &LeaseTimes) -> Self {
         let used = times.storeless.saturating_sub(storeless);
         Self {
@@ -37,7 +37,7 @@
         }
     }
 
-    /// Returns for how long the voters' word still counts without the store.
+    /// Returns for how long the voters' acknowledgements still count without the store.
     pub(super) fn storeless_left(&self, now: Moment, times: &LeaseTimes) -> Duration {
         self.storeless_end(times).since(now)
     }
--- a/crates/mesh/src/ownership/leader/row.rs
+++ b/crates/mesh/src/ownership/leader/row.rs
@@ -41,7 +41,7 @@
     /// confirmed by a question asked later than this. Were it not, a later leader could meanwhile
     /// have extended that lease, and two servers would hold the range.
     pub(super) lapsed: Option<Moment>,
-    /// The last holder's word for the next.
+    /// The last holder's handover token for the next one.
     pub(super) handover: Option<Handover>,
     /// For whom it was released, if that was decided.
     pub(super) to: Option<NodeName>,
--- a/crates/mesh/src/ownership/lease_times.rs
+++ b/crates/mesh/src/ownership/lease_times.rs
@@ -10,7 +10,7 @@
     /// Keys of a lost host are served again after this; a backend server whose heartbeat comes that
     /// late loses its keys for a moment.
     pub lease: Duration,
-    /// How long a leader may act on the word of a majority alone, while the store is away. It
+    /// How long a leader may act on the acknowledgements of a majority alone, while the store is away. It
     /// bounds how long keys stay without an owner when that majority is gone for good.
     pub storeless: Duration,
     /// How often a node speaks to its leader.
--- a/crates/mesh/src/ownership/message/handoff.rs
+++ b/crates/mesh/src/ownership/message/handoff.rs
@@ -58,7 +58,7 @@
     pub end: u64,
     /// The highest token that was given.
     pub fence: FencingToken,
-    /// For how many milliseconds more the voters' word counts without the store.
+    /// For how many milliseconds more the voters' acknowledgements count without the store.
     pub storeless: u32,
     /// All keys of all services that are divided by key.
     pub ranges: Vec<HandedRange>,
--- a/crates/mesh/src/ownership/message/leader_record.rs
+++ b/crates/mesh/src/ownership/message/leader_record.rs
@@ -9,7 +9,7 @@
 use super::Epoch;
 use super::NodeLife;
 
-/// Is a node whose word counts for a leadership, and the only kind that may hold keys.
+/// Is a node whose acknowledgement counts for a leadership; only such nodes may hold keys.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
 pub struct Voter {
--- a/crates/mesh/src/ownership/mod.rs
+++ b/crates/mesh/src/ownership/mod.rs
@@ -18,7 +18,7 @@
 pub use directory::DirectoryEntry;
 pub use event::Event;
 pub use event::LeaderRead;
-pub use event::ServerWord;
+pub use event::ServerEvent;
 pub use holder::HeartbeatAnswer;
 pub use lease_times::LeaseTimes;
 pub use message::Assignment;
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -115,7 +115,7 @@
         match event {
             Event::Tick => self.tick(now, &mut actions),
             Event::Message(from, message) => self.take(now, from, message, &mut actions),
-            Event::Server(word) => self.hear_server(now, word, &mut actions),
+            Event::Server(event) => self.hear_server(now, event, &mut actions),
             Event::Read(asked, read) => self.learn_read(now, asked, read, &mut actions),
             Event::Wrote(outcome) => self.learn_write(now, outcome, &mut actions),
             Event::Intent(intent) => self.set_intent(now, intent),
--- a/crates/mesh/src/ownership/node_machine/serving.rs
+++ b/crates/mesh/src/ownership/node_machine/serving.rs
@@ -8,15 +8,20 @@
 use crate::ownership::Action;
 use crate::ownership::HeartbeatAnswer;
 use crate::ownership::ServerCard;
-use crate::ownership::ServerWord;
+use crate::ownership::ServerEvent;
 
 /// How many heartbeats a backend server may miss until nothing is granted to it.
 const MISSED_HEARTBEATS: u32 = 3;
 
 impl NodeMachine {
-    pub(super) fn hear_server(&mut self, now: Moment, word: ServerWord, actions: &mut Vec<Action>) {
-        match word {
-            ServerWord::Heartbeat(heartbeat) => {
+    pub(super) fn hear_server(
+        &mut self,
+        now: Moment,
+        event: ServerEvent,
+        actions: &mut Vec<Action>,
+    ) {
+        match event {
+            ServerEvent::Heartbeat(heartbeat) => {
                 let life = heartbeat.life.clone();
                 if self.server.life() != Some(&life) {
                     let epoch = self.epoch().unwrap_or_default();
@@ -34,12 +39,12 @@
                 }
                 actions.push(Action::Answer(answer));
             }
-            ServerWord::Leaves(id) => {
+            ServerEvent::Leaves(id) => {
                 self.server.leaves(&id);
                 self.forget_lease();
                 actions.push(Action::Answer(HeartbeatAnswer::Heard));
             }
-            ServerWord::Gone => {
+            ServerEvent::Gone => {
                 self.server_gone = true;
                 self.forget_lease();
             }
@@ -51,8 +56,8 @@
         actions.push(Action::Publish);
     }
 
-    /// Grants nothing until the next order. The leader takes a node without a server at its word
-    /// and gives the server's keys away once they are released; should the server speak again, an
+    /// Grants nothing until the next order. The leader relies on a node's report that it has no
+    /// server, and gives the server's keys away once they are released; should the server speak again, an
     /// old lease must not bring them back.
     pub(super) fn forget_lease(&mut self) {
         if self.server().is_none() {
--- a/crates/mesh/tests/ownership_support/fleet.rs
+++ b/crates/mesh/tests/ownership_support/fleet.rs
@@ -26,7 +26,7 @@
 use quetzalrack_mesh::ownership::NodeMachine;
 use quetzalrack_mesh::ownership::NodeProfile;
 use quetzalrack_mesh::ownership::PeerMessage;
-use quetzalrack_mesh::ownership::ServerWord;
+use quetzalrack_mesh::ownership::ServerEvent;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -266,7 +266,7 @@
             Happening::Heard(place, heartbeat) => {
                 let life = self.nodes[place].life;
                 let again = Happening::Heard(place, heartbeat.clone());
-                let event = Event::Server(ServerWord::Heartbeat(heartbeat));
+                let event = Event::Server(ServerEvent::Heartbeat(heartbeat));
                 self.step(place, life, event, again);
             }
             Happening::Answered(place, born, sequence, answer) => {
@@ -432,7 +432,7 @@
             return false;
         }
         let heard = match &event {
-            Event::Server(ServerWord::Heartbeat(heartbeat)) => {
+            Event::Server(ServerEvent::Heartbeat(heartbeat)) => {
                 Some((heartbeat.life.born, heartbeat.sequence))
             }
             _ => None,
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -19,7 +19,7 @@
 use quetzalrack_mesh::ownership::NodeMachine;
 use quetzalrack_mesh::ownership::NodeProfile;
 use quetzalrack_mesh::ownership::PeerMessage;
-use quetzalrack_mesh::ownership::ServerWord;
+use quetzalrack_mesh::ownership::ServerEvent;
 use quetzalrack_mesh::routing::RouteTable;
 use quetzalrack_platform::request::READINESS_PATH;
 use tokio::net::TcpListener;
@@ -67,7 +67,7 @@
     shutdown: mpsc::UnboundedReceiver<()>,
 }
 
-/// Is the machine with its hands.
+/// Is the machine with everything that carries out its actions.
 struct Running {
     machine: NodeMachine,
     board: Arc<Board>,
@@ -82,7 +82,7 @@
 }
 
 impl ControlNode {
-    /// Makes the control side of a node; a word on `shutdown` tells it that the process leaves.
+    /// Makes the control side of a node; a message on `shutdown` tells it that the process leaves.
     pub fn new(
         settings: ControlSettings,
         board: Arc<Board>,
@@ -217,8 +217,8 @@
         }
     }
 
-    fn hear(&mut self, word: ServerWord, answer: oneshot::Sender<HeartbeatAnswer>) {
-        if let ServerWord::Leaves(id) = &word {
+    fn hear(&mut self, word: ServerEvent, answer: oneshot::Sender<HeartbeatAnswer>) {
+        if let ServerEvent::Leaves(id) = &word {
             log::info!(event = "server_leaves", server:% = id; "");
         }
         self.gone_told = false;
@@ -231,7 +231,7 @@
         if report.server_gone && !self.gone_told && self.server_is_silent() {
             self.gone_told = true;
             log::warn!(event = "server_gone", why = "its port refuses connections"; "");
-            self.step(Event::Server(ServerWord::Gone), None);
+            self.step(Event::Server(ServerEvent::Gone), None);
         }
         self.step(Event::Tick, None);
     }
--- a/crates/rack/src/control/server_port.rs
+++ b/crates/rack/src/control/server_port.rs
@@ -12,7 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use quetzalrack_mesh::ownership::HeartbeatAnswer;
-use quetzalrack_mesh::ownership::ServerWord;
+use quetzalrack_mesh::ownership::ServerEvent;
 use quetzalrack_platform::server::ServerCall;
 use quetzalrack_platform::server::parse_heartbeat;
 use quetzalrack_platform::server::write_answer;
@@ -21,8 +21,8 @@
 
 use crate::metrics::Metrics;
 
-/// Is a word of the backend server that waits for its answer.
-pub(super) type ServerQuestion = (ServerWord, oneshot::Sender<HeartbeatAnswer>);
+/// Is a call of the backend server that waits for its answer.
+pub(super) type ServerQuestion = (ServerEvent, oneshot::Sender<HeartbeatAnswer>);
 
 /// Passes the backend server's calls to the control machine.
 pub(super) struct ServerPort {
@@ -39,13 +39,13 @@
             return status(StatusCode::NOT_FOUND);
         };
         let word = match call {
-            ServerCall::Leave(id) => ServerWord::Leaves(id),
+            ServerCall::Leave(id) => ServerEvent::Leaves(id),
             ServerCall::Heartbeat(id) => {
                 let Ok(body) = request.into_body().collect().await else {
                     return status(StatusCode::BAD_REQUEST);
                 };
                 match parse_heartbeat(id, &body.to_bytes()) {
-                    Ok(heartbeat) => ServerWord::Heartbeat(heartbeat),
+                    Ok(heartbeat) => ServerEvent::Heartbeat(heartbeat),
                     // Another writer's slip names no server; the one that is known stays.
                     Err(error) => {
                         self.metrics.unreadable("heartbeat");
--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -70,7 +70,7 @@
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         // A client that left while its request lay in a queue is looked for first, so that the
-        // request is not begun for nobody.
+        // request is not started.
         tokio::select! {
             biased;
             () = departure.wait() => {}
