rack: one loop that accepts connections

It stood in four ports, with the same pause after a failed accept. No change of behaviour but that the metrics port goes on after a failed accept too.

--- a/crates/rack/src/control/http_port.rs
+++ b/crates/rack/src/control/http_port.rs
@@ -15,12 +15,11 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 
+use crate::accept::accept_all;
+
 /// How long a caller may take for the head of a request on a kept connection; the platform and the
 /// backend server call about once a second.
 const IDLE: Duration = Duration::from_secs(30);
-/// How long to wait after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Answers the requests of one port until the process ends.
 pub(super) async fn serve_port<F, A>(listener: TcpListener, answer: F)
 where
@@ -28,27 +27,17 @@
     A: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     let answer = Rc::new(answer);
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(event = "accept_failed", port = "control"; "{error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        // Latency only.
-        stream.set_nodelay(true).ok();
+    accept_all(listener, "control", move |stream| {
         let answer = Rc::clone(&answer);
         let service = service_fn(move |request| {
             let answer = answer(request);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = http1::Builder::new()
+        // A caller that broke off calls again.
+        http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(IDLE)
-            .serve_connection(TokioIo::new(stream), service);
-        // A caller that broke off calls again.
-        tokio::task::spawn_local(async move { connection.await.ok() });
-    }
+            .serve_connection(TokioIo::new(stream), service)
+    })
+    .await;
 }
--- a/crates/rack/src/metrics/metrics_server.rs
+++ b/crates/rack/src/metrics/metrics_server.rs
@@ -14,17 +14,18 @@
 use tokio::net::TcpListener;
 
 use super::Metrics;
+use crate::accept::accept_all;
 
 /// Serves the page to whoever asks, whatever the path, until the process ends.
 pub async fn serve_metrics(listener: TcpListener, metrics: Arc<Metrics>) {
-    while let Ok((stream, _)) = listener.accept().await {
+    accept_all(listener, "metrics", move |stream| {
         let metrics = Arc::clone(&metrics);
         let service = service_fn(move |_: Request<Incoming>| {
             let page = metrics.page();
             async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(page)))) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         // Whoever asked has gone; the next one asks again.
-        tokio::task::spawn_local(async move { connection.await.ok() });
-    }
+        http1::Builder::new().serve_connection(TokioIo::new(stream), service)
+    })
+    .await;
 }
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -22,6 +22,7 @@
 use super::INTENT_PATH;
 use super::hop_answer;
 use super::hop_request;
+use crate::accept::accept_all;
 use crate::clock;
 use crate::shared::Board;
 use crate::traffic::egress::Egress;
@@ -30,10 +31,6 @@
 
 /// How soon a node asks again that was refused because this one is shutting down.
 const AFTER_SHUTDOWN: Duration = Duration::from_millis(500);
-/// How long to wait after a failed accept: the process has run out of descriptors, and a moment
-/// later some are free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Serves other nodes.
 #[derive(Clone)]
 pub(in crate::traffic) struct HopServer {
@@ -44,22 +41,10 @@
 impl HopServer {
     /// Accepts connections until the process ends.
     pub(in crate::traffic) async fn run(self, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().serve(stream));
-                }
-                Err(error) => {
-                    log::warn!(event = "accept_failed", port = "nodes"; "{error}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        accept_all(listener, "nodes", |stream| self.clone().serve(stream)).await;
     }
 
     async fn serve(self, stream: TcpStream) {
-        // Latency only; a socket that refuses it works all the same.
-        stream.set_nodelay(true).ok();
         let service = service_fn(move |request| self.clone().answer(request));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         // A broken connection has no one to tell; its jobs were cancelled with it.
--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -21,15 +20,12 @@
 use tokio::sync::watch;
 
 use super::Ingress;
+use crate::accept::accept_all;
 use crate::shared::Board;
 use crate::traffic::wire::WatchedStream;
 
 /// The smallest buffer that the HTTP library takes for a header section.
 const SMALLEST_BUFFER: usize = 8 * 1024;
-/// How long to wait after a failed accept: the process has run out of descriptors, and a moment
-/// later some are free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Serves clients.
 #[derive(Clone)]
 pub(in crate::traffic) struct ClientPort {
@@ -42,22 +38,10 @@
 impl ClientPort {
     /// Accepts connections until the process ends.
     pub(in crate::traffic) async fn run(self, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().serve(stream));
-                }
-                Err(error) => {
-                    log::warn!(event = "accept_failed", port = "clients"; "{error}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
-        }
+        accept_all(listener, "clients", |stream| self.clone().serve(stream)).await;
     }
 
     async fn serve(self, stream: TcpStream) {
-        // Latency only; a socket that refuses it works all the same.
-        stream.set_nodelay(true).ok();
         let config = self.board.view().intent.config.clone();
         let limits = config.map(|config| config.limits).unwrap_or_default();
         let (stream, departure) = WatchedStream::open(stream);
