--- a/crates/rack/src/node/running_node.rs
+++ b/crates/rack/src/node/running_node.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 
 use super::RunError;
+use crate::clock;
 use crate::control::ControlNode;
 use crate::control::ControlSettings;
 use crate::metrics::Metrics;
@@ -73,7 +74,7 @@
 
     /// Tells the node to leave: it finishes what it has.
     pub fn shutdown(&self) {
-        self.board.set_leaving();
+        self.board.set_leaving(clock::now());
         // A control thread that is gone has nobody left to tell.
         self.shutdown.send(()).ok();
     }
--- a/crates/rack/src/shared/board.rs
+++ b/crates/rack/src/shared/board.rs
@@ -1,10 +1,11 @@
 //! Where the two threads leave their news.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use quetzalrack_core::time::Moment;
 use tokio::sync::Notify;
 
 use super::NodeView;
@@ -16,7 +17,8 @@
     view: ArcSwap<NodeView>,
     changed: Notify,
     report: ArcSwap<TrafficReport>,
-    leaving: AtomicBool,
+    /// Since when the process leaves, in nanoseconds of the clock; 0 while it does not.
+    leaving: AtomicU64,
 }
 
 impl Board {
@@ -46,13 +48,19 @@
         self.report.store(Arc::new(report));
     }
 
-    /// Tells the traffic that the process leaves.
-    pub fn set_leaving(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Tells the traffic that the process leaves from now on.
+    pub fn set_leaving(&self, now: Moment) {
+        self.leaving.store(now.0, Ordering::Release);
     }
 
     /// Tells whether the process leaves.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving_since().is_some()
+    }
+
+    /// Returns since when the process leaves.
+    pub fn leaving_since(&self) -> Option<Moment> {
+        let since = self.leaving.load(Ordering::Acquire);
+        (since > 0).then_some(Moment(since))
     }
 }
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -47,6 +47,9 @@
 const MOST_NODES: usize = 4;
 /// How long after a look at the table the next one follows while a key has no owner.
 const OWNER_LOOK: Duration = Duration::from_millis(40);
+/// How long before SIGKILL the last answers are given: the process ends 0.4 s before it, and they
+/// need a moment to be written.
+const LAST_ANSWERS: Duration = Duration::from_millis(600);
 /// The time that an attempt needs at least to be worth making.
 const WORTHWHILE: Duration = Duration::from_millis(20);
 
@@ -121,7 +124,13 @@
         let origin = self.settings.service.clone();
         let intake = intake::make(arrived, parts, body, route, service, origin);
         self.budget(&intake.job.service, RetryBudget::count);
-        let mut answer = self.place(&intake).await;
+        let mut answer = tokio::select! {
+            answer = self.place(&intake) => answer,
+            () = self.last_moment() => {
+                self.note(&intake, "node_ends", StatusCode::BAD_GATEWAY, 0);
+                plain(StatusCode::BAD_GATEWAY)
+            }
+        };
         let status = answer.status().as_u16();
         self.metrics.answered(
             intake.route.name.as_str(),
@@ -132,6 +141,19 @@
         answer
     }
 
+    /// Waits until the process is about to end. A request that is still somewhere in a queue then
+    /// gets an answer, which promises nothing; else its client would see the connection cut.
+    async fn last_moment(&self) {
+        loop {
+            if let Some(since) = self.board.leaving_since() {
+                let end = since + self.settings.bounds.grace.saturating_sub(LAST_ANSWERS);
+                tokio::time::sleep(end.since(clock::now())).await;
+                return;
+            }
+            self.board.changed().await;
+        }
+    }
+
     fn service(&self, route: &Route) -> ServiceName {
         let mut wheels = self.wheels.borrow_mut();
         let wheel = wheels.entry(route.name.clone()).or_default();
--- a/crates/rack/tests/system/faults.rs
+++ b/crates/rack/tests/system/faults.rs
@@ -189,3 +189,31 @@
     assert_eq!(world.hosts[0].server.runs("leaves-first"), 1);
     assert_eq!(world.hosts[0].server.runs("leaves-second"), 0);
 }
+
+/// A node is told to leave while its clients' requests wait in queues for longer than it has. The
+/// process ended in the middle of them, and the clients saw closed connections; now each gets an
+/// answer first.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_queue_at_the_end() {
+    let mut world = World::start(&["plain", "plain", "keyed"]).await;
+    world.settled(START).await;
+    world.write_patient_config(3);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for host in &world.hosts {
+        host.server.set_work(Duration::from_secs(9));
+    }
+    let asked = async {
+        let asks = (0..30).map(|number| {
+            let (world, id) = (&world, format!("queued-{number}"));
+            async move { world.ask_patiently(0, &id, "/plain/1").await }
+        });
+        futures::future::join_all(asks).await
+    };
+    let told = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        world.terminate_node(0);
+    };
+    let (answers, ()) = tokio::join!(asked, told);
+    assert!(answers.iter().all(Option::is_some), "{answers:?}");
+    assert!(world.ended(0, Duration::from_secs(2)).await);
+}
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -124,6 +124,24 @@
         self.store.write("config", &config(version, 1_000));
     }
 
+    /// Writes a new configuration whose routes wait for twenty seconds.
+    pub fn write_patient_config(&self, version: u64) {
+        self.store.write("config", &config(version, 20_000));
+    }
+
+    /// Sends a request whose client waits for twenty seconds; nothing if the connection ends
+    /// without an answer.
+    pub async fn ask_patiently(&self, place: usize, id: &str, path: &str) -> Option<StatusCode> {
+        let url = format!("http://{}{path}", self.hosts[place].clients);
+        let request = self
+            .http
+            .get(url)
+            .header("host", "shop.example")
+            .header("x-request-id", id);
+        let answer = request.header("x-deadline-ms", "20000").send().await;
+        answer.ok().map(|answer| answer.status())
+    }
+
     /// Starts the program on a host.
     pub fn start_node(&mut self, place: usize) {
         let host = &mut self.hosts[place];
