mesh, rack, platform: keys granted by call

Cause: the third deployment's servers are not told their keys in the answers to their heartbeats; the node beside a server calls it. We knew nothing of that, so no key was ever granted there. CalledGrants follows what a server may and what it surely holds by calls: a hold counts from an arrival that the node does not see, and a call without an answer may be obeyed late. The leader's rules stay; what is new is told in beats (leftover, outbid).

--- a/crates/mesh/src/model/host_settings.rs
+++ b/crates/mesh/src/model/host_settings.rs
@@ -9,6 +9,7 @@
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::ids::ZoneName;
 
+use super::Granting;
 use super::LinkRate;
 use super::ListenAddresses;
 use super::TimeBounds;
@@ -36,6 +37,8 @@
     pub link: Option<LinkRate>,
     /// How often the backend server sends its heartbeat.
     pub heartbeat: Duration,
+    /// How the backend server is granted keys where its service does not say.
+    pub granting: Granting,
     /// The bounds within which the platform wants things done.
     pub bounds: TimeBounds,
 }
@@ -54,6 +57,7 @@
             ("store", self.store != other.store),
             ("link", self.link != other.link),
             ("heartbeat", self.heartbeat != other.heartbeat),
+            ("granting", self.granting != other.granting),
             ("bounds", self.bounds != other.bounds),
         ];
         let changed = fields.into_iter().filter(|(_, differs)| *differs);
--- a/crates/mesh/src/model/mod.rs
+++ b/crates/mesh/src/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod client_limits;
 mod fencing_token;
+mod granting;
 mod handover;
 mod held_range;
 mod host_settings;
@@ -21,6 +22,7 @@
 
 pub use client_limits::ClientLimits;
 pub use fencing_token::FencingToken;
+pub use granting::Granting;
 pub use handover::Handover;
 pub use held_range::HeldRange;
 pub use host_settings::HostSettings;
@@ -29,7 +31,6 @@
 pub use link_rate::ParseLinkRateError;
 pub use listen_addresses::ListenAddresses;
 pub use operators_intent::OperatorsIntent;
-
 pub use renewal::GrantedRange;
 pub use renewal::Renewal;
 pub use route::Route;
--- a/crates/mesh/src/model/service_settings.rs
+++ b/crates/mesh/src/model/service_settings.rs
@@ -1,8 +1,11 @@
 //! What the operators say of a service.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
-use std::time::Duration;
+
+use super::Granting;
 
 /// Describes the backend servers of a service.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,4 +22,6 @@
     pub cold_rate: Option<f64>,
     /// Whether each key has one owner.
     pub keyed: bool,
+    /// How its servers are granted keys; the host's settings decide where nothing is said.
+    pub granting: Option<Granting>,
 }
--- a/crates/mesh/src/ownership/action.rs
+++ b/crates/mesh/src/ownership/action.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use super::HeartbeatAnswer;
+use super::KeyCall;
 use super::LeaderRecord;
 use super::Note;
 use super::PeerMessage;
@@ -23,6 +24,8 @@
     },
     /// Answer the backend server's heartbeat.
     Answer(HeartbeatAnswer),
+    /// Call the backend server; the outcome comes back as an event.
+    CallServer(KeyCall),
     /// The directory or the lease has changed.
     Publish,
     /// Ask a node for the operators' intent, since it has read further.
--- a/crates/mesh/src/ownership/event.rs
+++ b/crates/mesh/src/ownership/event.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::KeyCallId;
+use super::KeyCallOutcome;
 use super::KeyLoad;
 use super::LeaderRecord;
 use super::NodeLoad;
@@ -27,6 +29,8 @@
     Heartbeat(ServerHeartbeat),
     /// It leaves.
     Leaves(ServerId),
+    /// A call to it has ended.
+    CallEnded(KeyCallId, KeyCallOutcome),
     /// It is gone: its port takes no connections, or its heartbeats have stopped for long.
     Gone,
 }
--- a/crates/mesh/src/ownership/holder/mod.rs
+++ b/crates/mesh/src/ownership/holder/mod.rs
@@ -1,9 +1,16 @@
 //! What a node grants to the backend server beside it.
 
+mod called_grants;
 mod heartbeat_answer;
+mod key_call;
 mod lease;
 mod server_watch;
 
+use called_grants::CalledGrants;
 pub use heartbeat_answer::HeartbeatAnswer;
+pub use key_call::KeyCall;
+pub use key_call::KeyCallId;
+pub use key_call::KeyCallOutcome;
+pub use key_call::KeyRequest;
 pub(super) use lease::Lease;
 pub(super) use server_watch::ServerWatch;
--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -4,9 +4,14 @@
 
 use quetzalrack_core::time::Moment;
 
+use super::CalledGrants;
 use super::HeartbeatAnswer;
+use super::KeyCall;
+use super::KeyCallId;
+use super::KeyCallOutcome;
 use super::Lease;
 use crate::model::FreedRange;
+use crate::model::Granting;
 use crate::model::HeldRange;
 use crate::model::KeyRange;
 use crate::model::Renewal;
@@ -34,6 +39,7 @@
 pub(in crate::ownership) struct ServerWatch {
     current: Option<Current>,
     left: Vec<ServerLife>,
+    called: CalledGrants,
 }
 
 #[derive(Clone, Debug)]
@@ -66,14 +72,79 @@
         &mut self,
         now: Moment,
         heartbeat: ServerHeartbeat,
+        granting: Granting,
         lease: Option<&Lease>,
         times: &LeaseTimes,
     ) -> HeartbeatAnswer {
         if self.left.contains(&heartbeat.life) || self.is_stale(now, &heartbeat) {
             return HeartbeatAnswer::Heard;
         }
-        self.note(now, heartbeat, times);
-        self.renew(now, lease)
+        match granting {
+            Granting::ByHeartbeat => {
+                self.note(now, heartbeat, times);
+                self.renew(now, lease)
+            }
+            Granting::ByCall => {
+                // The answers to calls say what it holds and has released.
+                let silent = ServerHeartbeat {
+                    holds: Vec::new(),
+                    freed: Vec::new(),
+                    ..heartbeat
+                };
+                self.note(now, silent, times);
+                HeartbeatAnswer::Heard
+            }
+        }
+    }
+
+    /// Returns the calls that are due: for keys of the lease that a server is granted by call, and to
+    /// take back what the lease does not name.
+    pub(in crate::ownership) fn call(
+        &mut self,
+        now: Moment,
+        granting: Granting,
+        lease: Option<&Lease>,
+        times: &LeaseTimes,
+    ) -> Vec<KeyCall> {
+        let Some(current) = &self.current else {
+            return Vec::new();
+        };
+        let newest = &current.newest;
+        let lease = lease.filter(|lease| {
+            granting == Granting::ByCall && lease.assignment.server == newest.life
+        });
+        self.called
+            .plan(now, &newest.life, newest.address, lease, times)
+    }
+
+    /// Takes the outcome of a call.
+    pub(in crate::ownership) fn call_ended(
+        &mut self,
+        now: Moment,
+        id: KeyCallId,
+        outcome: KeyCallOutcome,
+        times: &LeaseTimes,
+    ) {
+        let freed = self.called.ended(now, id, outcome, times);
+        if let (Some(freed), Some(current)) = (freed, &mut self.current) {
+            current
+                .freed
+                .retain(|(at, _)| now.since(*at) < FREED_KEPT);
+            current.freed.push((now, freed));
+        }
+    }
+
+    /// Returns what was granted by call to earlier lives, and may have reached the present one.
+    pub(in crate::ownership) fn leftover(&self, now: Moment) -> Vec<HeldRange> {
+        self.life()
+            .map_or(Vec::new(), |life| self.called.leftover(now, life))
+    }
+
+    /// Returns the ranges of the lease that the server refused for a higher token.
+    pub(in crate::ownership) fn outbid(&self, lease: Option<&Lease>) -> Vec<HeldRange> {
+        lease.map_or(Vec::new(), |lease| {
+            self.called.outbid(&lease.assignment.ranges)
+        })
     }
 
     /// Forgets the server: it leaves, and a heartbeat of this life that still comes changes nothing.
@@ -114,11 +185,16 @@
         self.current.as_ref().map(|current| current.at)
     }
 
-    /// Tells whether what the server holds is known.
-    pub(in crate::ownership) fn is_settled(&self) -> bool {
+    /// Tells whether the server has been heard often enough to be granted keys.
+    pub(in crate::ownership) fn is_settled(&self, granting: Granting) -> bool {
+        let beats = match granting {
+            Granting::ByHeartbeat => SETTLED_BEATS,
+            // What it holds does not follow from its heartbeats.
+            Granting::ByCall => 1,
+        };
         self.current
             .as_ref()
-            .is_some_and(|current| current.heard >= SETTLED_BEATS)
+            .is_some_and(|current| current.heard >= beats)
     }
 
     /// Returns everything that the server may hold now.
@@ -131,18 +207,30 @@
         if now < current.inherited_until {
             holding.extend(&current.newest.holds);
         }
+        holding.extend(self.called.holding(now, &current.newest.life));
         holding.sort_unstable();
         holding.dedup();
         holding
     }
 
     /// Returns the ranges that the server serves now, each with the end of its grant.
-    pub(in crate::ownership) fn serving(&self, now: Moment) -> Vec<(HeldRange, Moment)> {
+    pub(in crate::ownership) fn serving(
+        &self,
+        now: Moment,
+        lease: Option<&Lease>,
+    ) -> Vec<(HeldRange, Moment)> {
         let Some(current) = &self.current else {
             return Vec::new();
         };
         let wanted = current.live_offers(now).filter(|offer| offer.wanted);
-        wanted.map(|offer| (offer.held, offer.until)).collect()
+        let mut serving: Vec<(HeldRange, Moment)> =
+            wanted.map(|offer| (offer.held, offer.until)).collect();
+        let life = &current.newest.life;
+        if let Some(lease) = lease.filter(|lease| lease.assignment.server == *life) {
+            let ranges = &lease.assignment.ranges;
+            serving.extend(self.called.serving(now, life, ranges));
+        }
+        serving
     }
 
     /// Returns what the server has released lately.
--- a/crates/mesh/src/ownership/leader/assigning.rs
+++ b/crates/mesh/src/ownership/leader/assigning.rs
@@ -26,7 +26,7 @@
         if let Some(ledger) = self.ledgers.get(&peer.member.service) {
             for row in ledger.rows() {
                 match &row.state {
-                    RowState::Unknown if holds(&peer.holding, row.keys) => return None,
+                    RowState::Unknown if peer.may_hold(&row.keys) => return None,
                     RowState::Held(tenure) if tenure.node == *node => ranges.push(GrantedRange {
                         held: HeldRange {
                             keys: row.keys,
@@ -71,7 +71,3 @@
         }
     }
 }
-
-fn holds(holding: &[HeldRange], keys: crate::model::KeyRange) -> bool {
-    holding.iter().any(|held| held.keys.common(&keys).is_some())
-}
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -196,6 +196,7 @@
         self.update_authority(now);
         if current {
             self.settle_rows(now, node, beat);
+            self.outbid(node, beat);
             self.account(now);
             self.place(now);
         }
--- a/crates/mesh/src/ownership/leader/peer.rs
+++ b/crates/mesh/src/ownership/leader/peer.rs
@@ -5,6 +5,7 @@
 use quetzalrack_core::time::Moment;
 
 use crate::model::HeldRange;
+use crate::model::KeyRange;
 use crate::ownership::Beat;
 use crate::ownership::KeyLoad;
 use crate::ownership::Member;
@@ -48,6 +49,8 @@
     /// Whether all that its backend server may hold is known.
     pub(super) known: bool,
     pub(super) holding: Vec<HeldRange>,
+    /// What earlier lives of its server were granted; the present one may hold it and may not keep it.
+    pub(super) leftover: Vec<HeldRange>,
     pub(super) load: NodeLoad,
     /// How full its server was over the last seconds, as a share of its slots.
     pub(super) fill: f64,
@@ -77,6 +80,7 @@
             lease_end: None,
             known: false,
             holding: Vec::new(),
+            leftover: Vec::new(),
             load: NodeLoad::default(),
             fill: 0.0,
             pace: 0.0,
@@ -137,6 +141,7 @@
             .map(|stamp| stamp + left);
         self.known = beat.known;
         self.holding.clone_from(&beat.holding);
+        self.leftover.clone_from(&beat.leftover);
         self.load = beat.load;
         self.fill += (beat.load.fill() - self.fill) * FILL_WEIGHT;
         let pace = f64::from(beat.load.pace) / 1_000.0;
@@ -152,6 +157,12 @@
         changed
     }
 
+    /// Tells whether its server may hold some of these keys, as far as reported.
+    pub(super) fn may_hold(&self, keys: &KeyRange) -> bool {
+        let mut held = self.holding.iter().chain(&self.leftover);
+        held.any(|held| held.keys.common(keys).is_some())
+    }
+
     /// Returns the digest of what others are told of it.
     pub(super) fn digest(&self) -> MemberDigest {
         MemberDigest::of(&self.member, self.told_heard)
--- a/crates/mesh/src/ownership/leader/settling.rs
+++ b/crates/mesh/src/ownership/leader/settling.rs
@@ -7,6 +7,8 @@
 use super::ledger::Ledger;
 use super::row::Freedom;
 use super::row::RowState;
+use crate::model::Granting;
+use crate::model::HeldRange;
 use crate::ownership::Beat;
 
 impl Leader {
@@ -20,15 +22,22 @@
             let Some(tenure) = row.state.tenure().filter(|tenure| tenure.node == *node) else {
                 continue;
             };
-            let held = beat
-                .holding
-                .iter()
-                .any(|held| held.keys.common(&row.keys).is_some());
+            let mut reported = beat.holding.iter().chain(&beat.leftover);
+            let held = reported.any(|held| held.keys.common(&row.keys).is_some());
             let life = tenure.server.as_ref();
             let reborn = server.is_some_and(|server| life.is_some_and(|life| *life != server.life));
+            // A call to the earlier life may have reached the present one.
+            let clean = beat.granting == Granting::ByHeartbeat || (beat.known && !held);
             match &row.state {
                 // One host runs one life of its server, so the earlier one is gone.
-                _ if reborn => row.state = RowState::free(),
+                _ if reborn && clean => row.state = RowState::free(),
+                RowState::Held(tenure) if reborn => {
+                    row.state = RowState::Leaving {
+                        tenure: tenure.clone(),
+                        since: now.0,
+                        to: None,
+                    };
+                }
                 // A restarted node that has not heard its server yet reports nothing held, and its
                 // server goes on holding what the node's earlier life granted.
                 _ if !beat.known => {}
@@ -57,6 +66,27 @@
         }
     }
 
+    /// Gives a higher token to what a node's server refused: it has seen one above ours on these keys.
+    pub(super) fn outbid(&mut self, node: &NodeName, beat: &Beat) {
+        let Some(ledger) = self.ledgers.get_mut(&beat.member.service) else {
+            return;
+        };
+        for row in ledger.rows_mut() {
+            let RowState::Held(tenure) = &mut row.state else {
+                continue;
+            };
+            let refused = |held: &HeldRange| {
+                held.fence == tenure.fence && held.keys.common(&row.keys).is_some()
+            };
+            if tenure.node == *node && beat.outbid.iter().any(refused) {
+                self.fence = self.fence.next();
+                let detail = format!("{} at {node}, now token {}", row.keys, self.fence);
+                self.notes.push(("grant_outbid", detail));
+                tenure.fence = self.fence;
+            }
+        }
+    }
+
     /// Ends what was not renewed in time.
     pub(super) fn lapse(&mut self, now: Moment) {
         for ledger in self.ledgers.values_mut() {
--- a/crates/mesh/src/ownership/leader/takeover.rs
+++ b/crates/mesh/src/ownership/leader/takeover.rs
@@ -78,15 +78,20 @@
         // younger than the lapse. Voters who followed this leader before the lease's end never
         // gave one.
         let in_time = |end: Moment| self.majority.is_some_and(|since| since < end) && now < end;
-        let mut reported: Vec<(HeldRange, &Peer)> = peers
+        let accounted = peers
             .values()
             .filter(|peer| peer.member.service == *service && peer.is_accounted())
-            .filter(|peer| over || peer.lease_end.is_some_and(in_time))
-            .flat_map(|peer| peer.holding.iter().map(move |held| (*held, peer)))
+            .filter(|peer| over || peer.lease_end.is_some_and(in_time));
+        let mut reported: Vec<(HeldRange, bool, &Peer)> = accounted
+            .flat_map(|peer| {
+                let own = peer.holding.iter().map(move |held| (*held, true, peer));
+                let rest = peer.leftover.iter().map(move |held| (*held, false, peer));
+                own.chain(rest)
+            })
             .collect();
         // Were two to report a range, the one with the lower token has lost it.
-        reported.sort_by_key(|(held, _)| std::cmp::Reverse(held.fence));
-        for (held, peer) in reported {
+        reported.sort_by_key(|(held, ..)| std::cmp::Reverse(held.fence));
+        for (held, own, peer) in reported {
             let server = peer.member.server.as_ref();
             let tenure = Tenure {
                 node: peer.member.life.node.clone(),
@@ -95,8 +100,8 @@
                 handover: None,
                 until: now + LeaseTimes::waited(times.lease),
             };
-            // A server that does not speak can't be renewed; its keys are free once it lost them.
-            let state = match server.is_some_and(ServerCard::is_grantable) {
+            // A server that does not speak can't be renewed, and another life's grant must not be; its keys are free once it lost them.
+            let state = match own && server.is_some_and(ServerCard::is_grantable) {
                 true => RowState::Held(tenure),
                 false => RowState::Leaving {
                     tenure,
--- a/crates/mesh/src/ownership/lease_times.rs
+++ b/crates/mesh/src/ownership/lease_times.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use quetzalrack_core::time::Moment;
+
+/// The shortest hold that is worth asking for.
+const SHORTEST_HOLD: Duration = Duration::from_millis(100);
+
 /// Holds the times on which the safety of leases and the length of outages rest; see
 /// `docs/design/platform.md`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,6 +20,12 @@
     /// How long a leader may act on the acknowledgements of a majority alone, while the store is away. It
     /// bounds how long keys stay without an owner when that majority is gone for good.
     pub storeless: Duration,
+    /// The longest hold that a call asks for. A process that starts waits as long until it knows what its
+    /// server holds, since calls of the process before it may still be obeyed.
+    pub hold: Duration,
+    /// How long a call that grants keys may take: the hold counts from its arrival, so this much of each
+    /// lease can't be given away.
+    pub call: Duration,
     /// How often a node speaks to its leader.
     pub beat: Duration,
     /// How long a leader may be silent before its nodes look for another.
@@ -36,6 +47,11 @@
             // The store's outages last 4 to 16 s. Longer would only make keys wait longer whose
             // leader is gone for good together with most of the nodes.
             storeless: Duration::from_secs(16),
+            // Two calls for each range in that time.
+            hold: Duration::from_millis(2_000),
+            // The server is on the same host and answers at once; a full queue of connections or a
+            // starved process takes tenths of a second.
+            call: Duration::from_millis(300),
             // Three tries within `suspect`.
             beat: Duration::from_millis(400),
             // Leaves two thirds of a lease to find the next leader in.
@@ -55,6 +71,13 @@
         span + span * 3 / 100
     }
 
+    /// Returns for how long a call that is sent now may ask, if the hold must have ended by `end`; none
+    /// if that is too short to be worth a call.
+    pub fn held_by_call(&self, now: Moment, end: Moment) -> Option<Duration> {
+        let time = Self::given(end.since(now + self.call)).min(self.hold);
+        (time >= SHORTEST_HOLD).then_some(time)
+    }
+
     /// Returns what may be given away of `span`, for a clock that runs three hundredths slower.
     pub fn given(span: Duration) -> Duration {
         span * 97 / 100
--- a/crates/mesh/src/ownership/message/beat.rs
+++ b/crates/mesh/src/ownership/message/beat.rs
@@ -8,6 +8,7 @@
 use super::MemberDigest;
 use super::NodeLoad;
 use crate::model::FreedRange;
+use crate::model::Granting;
 use crate::model::HeldRange;
 use crate::model::KeyRange;
 
@@ -58,8 +59,15 @@
     /// Whether `holding` is complete. A restarted process knows it only once its server has spoken
     /// twice, or once every lease of its earlier life has ended.
     pub known: bool,
+    /// How its backend server is granted keys.
+    pub granting: Granting,
     /// All that its backend server may hold, as far as known.
     pub holding: Vec<HeldRange>,
+    /// What earlier lives of its server were granted by call: the present one may hold it, and may not
+    /// keep it, as keys go to another life with a higher token.
+    pub leftover: Vec<HeldRange>,
+    /// What its server refused since it has seen a higher token.
+    pub outbid: Vec<HeldRange>,
     /// How many milliseconds ago its backend server sent its last heartbeat.
     pub heartbeat_age: u16,
     /// What its backend server has released lately.
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -6,6 +6,7 @@
 use quetzalrack_core::time::Moment;
 
 use super::NodeMachine;
+use crate::model::Granting;
 use crate::ownership::Action;
 use crate::ownership::Beat;
 use crate::ownership::KeyLoad;
@@ -99,7 +100,7 @@
                     assignment: assignment.clone(),
                 });
             }
-            None if self.server.is_settled() => self.beat_due = self.beat_due.min(now + SOON),
+            None if self.server.is_settled(self.granting()) => self.beat_due = self.beat_due.min(now + SOON),
             None => {}
         }
         if order.expects {
@@ -135,6 +136,7 @@
         let age = now.since(self.started);
         let lease = self.lease.as_ref();
         let left = lease.map_or(Duration::ZERO, |lease| lease.until.since(now));
+        let granting = self.granting();
         let beat = Beat {
             epoch,
             member: self.member(card.clone()),
@@ -147,8 +149,17 @@
             // Rounded down, so that the leader takes the moment for later than it was.
             quiet: milliseconds(now.since(self.obeyed)),
             left: milliseconds(left),
-            known: self.server.is_settled() || age >= LeaseTimes::waited(self.times.lease),
+            known: match granting {
+                Granting::ByHeartbeat => {
+                    self.server.is_settled(granting) || age >= LeaseTimes::waited(self.times.lease)
+                }
+                // Calls of an earlier process have ended by then, obeyed or not.
+                Granting::ByCall => age >= LeaseTimes::waited(self.times.hold + self.times.call),
+            },
+            granting,
             holding: holding.clone(),
+            leftover: self.server.leftover(now),
+            outbid: self.server.outbid(lease),
             heartbeat_age: self.heartbeat_age(now),
             freed: self.server.freed(now),
             load: self.load,
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -136,6 +136,7 @@
             }
         }
         self.stand_down_if_over(now, &mut actions);
+        self.call_server(now, &mut actions);
         if now >= self.beat_due {
             self.beat(now, &mut actions);
         }
@@ -166,7 +167,7 @@
 
     /// Returns the ranges that the backend server serves, each with the end of its grant.
     pub fn serving(&self, now: Moment) -> Vec<(HeldRange, Moment)> {
-        self.server.serving(now)
+        self.server.serving(now, self.lease.as_ref())
     }
 
     /// Returns when the backend server was heard last.
--- a/crates/mesh/src/ownership/node_machine/node_profile.rs
+++ b/crates/mesh/src/ownership/node_machine/node_profile.rs
@@ -6,6 +6,7 @@
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::ids::ZoneName;
 
+use crate::model::Granting;
 use crate::ownership::NodeLife;
 
 /// Is what a node knows of itself at its start.
@@ -23,6 +24,8 @@
     pub service: ServiceName,
     /// How often its backend server sends a heartbeat.
     pub heartbeat: Duration,
+    /// How its backend server is granted keys where its service does not say.
+    pub granting: Granting,
     /// Whether its host's link is too narrow to lead where others can.
     pub narrow: bool,
     /// Seeds what is chosen at random.
--- a/crates/mesh/src/ownership/node_machine/serving.rs
+++ b/crates/mesh/src/ownership/node_machine/serving.rs
@@ -4,6 +4,7 @@
 
 use super::NodeMachine;
 use super::note::note;
+use crate::model::Granting;
 use crate::model::OperatorsIntent;
 use crate::ownership::Action;
 use crate::ownership::HeartbeatAnswer;
@@ -33,7 +34,10 @@
                     note(actions, "server_life", epoch, detail);
                 }
                 let lease = self.lease.as_ref().filter(|lease| now < lease.until);
-                let answer = self.server.hear(now, heartbeat, lease, &self.times);
+                let granting = self.granting();
+                let answer = self
+                    .server
+                    .hear(now, heartbeat, granting, lease, &self.times);
                 if self.server.life() == Some(&life) {
                     self.server_gone = false;
                 }
@@ -44,6 +48,9 @@
                 self.forget_lease();
                 actions.push(Action::Answer(HeartbeatAnswer::Heard));
             }
+            ServerEvent::CallEnded(id, outcome) => {
+                self.server.call_ended(now, id, outcome, &self.times);
+            }
             ServerEvent::Gone => {
                 self.server_gone = true;
                 self.forget_lease();
@@ -56,6 +63,22 @@
         actions.push(Action::Publish);
     }
 
+    /// Returns how the backend server is granted keys.
+    pub(super) fn granting(&self) -> Granting {
+        let config = self.intent.config.as_ref();
+        let service = config.and_then(|config| config.services.get(&self.profile.service));
+        let said = service.and_then(|service| service.granting);
+        said.unwrap_or(self.profile.granting)
+    }
+
+    /// Asks the backend server for what the lease says, if it is granted keys by call.
+    pub(super) fn call_server(&mut self, now: Moment, actions: &mut Vec<Action>) {
+        let granting = self.granting();
+        let lease = self.lease.as_ref().filter(|lease| now < lease.until);
+        let calls = self.server.call(now, granting, lease, &self.times);
+        actions.extend(calls.into_iter().map(Action::CallServer));
+    }
+
     /// Grants nothing until the next order. The leader relies on a node's report that it has no
     /// server, and gives the server's keys away once they are released; should the server speak again, an
     /// old lease must not bring them back.
@@ -71,7 +94,12 @@
         let holding = self.server.holding(now);
         if let Some(lease) = &mut self.lease {
             let ranges = &mut lease.assignment.ranges;
-            ranges.retain(|range| holding.contains(&range.held));
+            ranges.retain(|range| {
+                let keys = range.held.keys;
+                holding.iter().any(|held| {
+                    held.fence == range.held.fence && held.keys.common(&keys) == Some(keys)
+                })
+            });
         }
     }
 
@@ -94,7 +122,7 @@
             slots: u16::try_from(newest.slots).unwrap_or(u16::MAX),
             draining: newest.draining || self.intent.evacuated.contains(&self.profile.zone),
             cold: now < self.server.cold_until(),
-            settled: self.server.is_settled(),
+            settled: self.server.is_settled(self.granting()),
             silent: now.since(heard) >= self.profile.heartbeat * MISSED_HEARTBEATS,
         })
     }
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -21,6 +21,7 @@
 
 use super::http_port::serve_port;
 use super::intent_reader::IntentReader;
+use super::key_calls::KeyCalls;
 use super::peer_intent::PeerIntent;
 use super::running::Running;
 use super::server_port::ServerPort;
@@ -104,15 +105,14 @@
             events: events.clone(),
             intent,
         };
+        let times = LeaseTimes {
+            heartbeat: host.heartbeat,
+            hold: host.bounds.hold.min(LeaseTimes::default().hold),
+            ..LeaseTimes::default()
+        };
         let running = Running {
-            machine: NodeMachine::new(
-                clock::now(),
-                self.settings.profile.clone(),
-                LeaseTimes {
-                    heartbeat: host.heartbeat,
-                    ..LeaseTimes::default()
-                },
-            ),
+            machine: NodeMachine::new(clock::now(), self.settings.profile.clone(), times),
+            calls: KeyCalls::new(times, events.clone(), Arc::clone(&self.metrics)),
             board: self.board,
             socket,
             store: StoreCalls {
--- a/crates/rack/src/control/mod.rs
+++ b/crates/rack/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod control_loop;
 mod http_port;
 mod intent_reader;
+mod key_calls;
 mod peer_intent;
 mod running;
 mod server_port;
--- a/crates/rack/src/control/running.rs
+++ b/crates/rack/src/control/running.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use super::key_calls::KeyCalls;
 use super::peer_intent::PeerIntent;
 use super::server_port::ServerQuestion;
 use super::store_calls::StoreCalls;
@@ -42,6 +43,7 @@
     pub(super) socket: Rc<UdpSocket>,
     pub(super) store: StoreCalls,
     pub(super) peers: PeerIntent,
+    pub(super) calls: KeyCalls,
     pub(super) intent_offset: Option<u64>,
     pub(super) view: NodeView,
     pub(super) gone_told: bool,
@@ -136,6 +138,10 @@
                         answer.send(said).ok();
                     }
                 }
+                // It is spawned, and so begins after the view that follows from this step is published.
+                Action::CallServer(call) => {
+                    tokio::task::spawn_local(self.calls.clone().run(call));
+                }
                 Action::Publish => changed = true,
                 Action::FetchIntent(from) => {
                     tokio::task::spawn_local(self.peers.clone().fetch(from));
--- a/crates/rack/src/metrics/metrics_page.rs
+++ b/crates/rack/src/metrics/metrics_page.rs
@@ -79,6 +79,14 @@
         );
     }
 
+    /// Counts a call to the backend server about its keys, by its end.
+    pub fn key_call(&self, call: &str, end: &str) {
+        self.add(
+            "key_calls_total",
+            &format!("{{call=\"{call}\",end=\"{end}\"}}"),
+        );
+    }
+
     /// Sets how many connections to the backend server were opened.
     pub fn set_opened(&self, opened: u64) {
         let mut counts = self.counts();
--- a/crates/rack/src/node/running_node.rs
+++ b/crates/rack/src/node/running_node.rs
@@ -52,6 +52,7 @@
             traffic: advertised,
             service: host.service.clone(),
             heartbeat: host.heartbeat,
+            granting: host.granting,
             narrow: host.link.is_some_and(LinkRate::is_narrow),
             seed,
         };
--- a/crates/rack/src/traffic/mod.rs
+++ b/crates/rack/src/traffic/mod.rs
@@ -6,7 +6,7 @@
 mod job;
 mod outcome;
 mod traffic_node;
-mod wire;
+pub(crate) mod wire;
 
 pub(crate) use hop::INTENT_PATH;
 pub use traffic_node::TrafficNode;
--- a/crates/rack/src/traffic/wire/dial.rs
+++ b/crates/rack/src/traffic/wire/dial.rs
@@ -19,7 +19,7 @@
 /// Says why no connection could be opened.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
-pub(in crate::traffic) enum DialError {
+pub(crate) enum DialError {
     /// Nobody listens there.
     #[error("nobody listens")]
     Refused,
@@ -32,7 +32,7 @@
 }
 
 /// Opens a connection within a time.
-pub(in crate::traffic) async fn dial(
+pub(crate) async fn dial(
     address: SocketAddr,
     patience: Duration,
 ) -> Result<TcpStream, DialError> {
--- a/crates/rack/src/traffic/wire/link_pacer.rs
+++ b/crates/rack/src/traffic/wire/link_pacer.rs
@@ -19,7 +19,7 @@
 
 /// Runs the queue of long messages for the connections that leave the host.
 #[derive(Debug)]
-pub(in crate::traffic) struct LinkPacer {
+pub(crate) struct LinkPacer {
     queue: RefCell<LinkQueue>,
     wakers: RefCell<HashMap<MessageTurn, Waker>>,
     changed: Notify,
@@ -27,7 +27,7 @@
 
 impl LinkPacer {
     /// Starts to share a link; runs until the process ends.
-    pub(in crate::traffic) fn spawn(rate: LinkRate) -> Rc<Self> {
+    pub(crate) fn spawn(rate: LinkRate) -> Rc<Self> {
         let pacer = Rc::new(Self {
             queue: RefCell::new(LinkQueue::new(rate)),
             wakers: RefCell::default(),
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -25,19 +25,19 @@
 
 /// Bounds the connections to one address.
 #[derive(Clone, Copy, Debug)]
-pub(in crate::traffic) struct PoolLimits {
+pub(crate) struct PoolLimits {
     /// How long opening one may take.
-    pub(in crate::traffic) dial: Duration,
+    pub(crate) dial: Duration,
     /// How long an idle one is used again: the far side closes it some time later.
-    pub(in crate::traffic) idle: Duration,
+    pub(crate) idle: Duration,
     /// How many are kept idle.
-    pub(in crate::traffic) kept: usize,
+    pub(crate) kept: usize,
 }
 
 /// Says why an exchange brought no whole answer.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
-pub(in crate::traffic) enum ExchangeError {
+pub(crate) enum ExchangeError {
     /// No connection could be opened; nothing was sent.
     #[error("no connection: {0}")]
     Dial(#[from] DialError),
@@ -48,7 +48,7 @@
 
 /// Keeps warm connections by address.
 #[derive(Debug)]
-pub(in crate::traffic) struct Pool {
+pub(crate) struct Pool {
     limits: PoolLimits,
     pacer: Option<Rc<LinkPacer>>,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
@@ -68,6 +68,28 @@
     task: AbortHandle,
 }
 
+/// Says what became of a request on one connection.
+enum Sent {
+    Answered(Response<Bytes>),
+    /// The connection had ended; nothing was written.
+    Unwritten(Request<Full<Bytes>>),
+}
+
+impl Connection {
+    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Sent, ExchangeError> {
+        let answer = match self.sender.try_send_request(request).await {
+            Ok(answer) => answer,
+            Err(mut error) => match error.take_message() {
+                Some(unsent) => return Ok(Sent::Unwritten(unsent)),
+                None => return Err(error.into_error().into()),
+            },
+        };
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await?.to_bytes();
+        Ok(Sent::Answered(Response::from_parts(head, body)))
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -76,7 +98,7 @@
 
 impl Pool {
     /// Makes an empty pool; `pacer` shares the link that its connections use, if they use one.
-    pub(in crate::traffic) fn new(limits: PoolLimits, pacer: Option<Rc<LinkPacer>>) -> Rc<Self> {
+    pub(crate) fn new(limits: PoolLimits, pacer: Option<Rc<LinkPacer>>) -> Rc<Self> {
         Rc::new(Self {
             limits,
             pacer,
@@ -87,7 +109,7 @@
 
     /// Sends a request and reads the whole answer. `youngest` bounds how long a connection may have
     /// been idle to be used; a far side that drops idle ones resets what is sent next.
-    pub(in crate::traffic) async fn exchange<K>(
+    pub(crate) async fn exchange<K>(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
@@ -99,41 +121,64 @@
     {
         let mut request = request;
         loop {
-            let mut connection = match self.take(address, idle) {
-                Some(connection) => connection,
-                None => self.open(address).await?,
-            };
-            let answer = match connection.sender.try_send_request(request).await {
-                Ok(answer) => answer,
-                Err(mut error) => match error.take_message() {
-                    // It was never written, so another connection may carry it.
-                    Some(unsent) => {
-                        request = unsent;
-                        continue;
+            let mut connection = self.connect(address, idle).await?;
+            match connection.send(request).await? {
+                Sent::Answered(answer) => {
+                    if is_kept(&answer) {
+                        self.keep(address, connection);
                     }
-                    None => return Err(error.into_error().into()),
-                },
+                    return Ok(answer);
+                }
+                // Another connection may carry it.
+                Sent::Unwritten(unsent) => request = unsent,
+            }
+        }
+    }
+
+    /// Sends a request that is written only once a connection is open, since its content depends on the
+    /// time; none if it is too late by then.
+    pub(crate) async fn exchange_late<M>(
+        &self,
+        address: SocketAddr,
+        make: M,
+    ) -> Result<Option<Response<Bytes>>, ExchangeError>
+    where
+        M: Fn() -> Option<Request<Full<Bytes>>>,
+    {
+        loop {
+            let mut connection = self.connect(address, self.limits.idle).await?;
+            let Some(request) = make() else {
+                self.keep(address, connection);
+                return Ok(None);
             };
-            let (head, body) = answer.into_parts();
-            let body = body.collect().await?.to_bytes();
-            let answer = Response::from_parts(head, body);
-            if is_kept(&answer) {
+            if let Sent::Answered(answer) = connection.send(request).await? {
                 self.keep(address, connection);
+                return Ok(Some(answer));
             }
-            return Ok(answer);
         }
     }
 
     /// Closes all idle connections to an address.
-    pub(in crate::traffic) fn forget(&self, address: SocketAddr) {
+    pub(crate) fn forget(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
     }
 
     /// Returns how many connections were opened.
-    pub(in crate::traffic) fn opened(&self) -> u64 {
+    pub(crate) fn opened(&self) -> u64 {
         *self.opened.borrow()
     }
 
+    async fn connect(
+        &self,
+        address: SocketAddr,
+        idle: Duration,
+    ) -> Result<Connection, ExchangeError> {
+        match self.take(address, idle) {
+            Some(connection) => Ok(connection),
+            None => self.open(address).await,
+        }
+    }
+
     fn take(&self, address: SocketAddr, idle: Duration) -> Option<Connection> {
         let now = clock::now();
         let longest = idle.min(self.limits.idle);
