mesh: random schedules of servers that are granted keys by call

Calls are lost, obeyed up to six seconds late, after later grants and releases, and by whoever listens by then.

--- a/crates/mesh/src/ownership/holder/called_grants.rs
+++ b/crates/mesh/src/ownership/holder/called_grants.rs
@@ -161,10 +161,7 @@
             for grant in fitting {
                 let held = open.iter().filter_map(|keys| keys.common(&grant.held.keys));
                 serving.extend(held.map(|keys| {
-                    let held = HeldRange {
-                        keys,
-                        ..range.held
-                    };
+                    let held = HeldRange { keys, ..range.held };
                     (held, grant.serves)
                 }));
                 open = without(&open, &grant.held.keys);
@@ -195,10 +192,9 @@
             for earlier in &unwanted {
                 parts = without(&parts, &earlier.keys);
             }
-            let parts = parts.into_iter().map(|keys| HeldRange {
-                keys,
-                ..grant.held
-            });
+            let parts = parts
+                .into_iter()
+                .map(|keys| HeldRange { keys, ..grant.held });
             unwanted.extend(parts);
         }
         // A grant on its way could be obeyed after the release; its end is waited for.
--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -110,9 +110,8 @@
             return Vec::new();
         };
         let newest = &current.newest;
-        let lease = lease.filter(|lease| {
-            granting == Granting::ByCall && lease.assignment.server == newest.life
-        });
+        let lease = lease
+            .filter(|lease| granting == Granting::ByCall && lease.assignment.server == newest.life);
         self.called
             .plan(now, &newest.life, newest.address, lease, times)
     }
@@ -127,9 +126,7 @@
     ) {
         let freed = self.called.ended(now, id, outcome, times);
         if let (Some(freed), Some(current)) = (freed, &mut self.current) {
-            current
-                .freed
-                .retain(|(at, _)| now.since(*at) < FREED_KEPT);
+            current.freed.retain(|(at, _)| now.since(*at) < FREED_KEPT);
             current.freed.push((now, freed));
         }
     }
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -100,7 +100,9 @@
                     assignment: assignment.clone(),
                 });
             }
-            None if self.server.is_settled(self.granting()) => self.beat_due = self.beat_due.min(now + SOON),
+            None if self.server.is_settled(self.granting()) => {
+                self.beat_due = self.beat_due.min(now + SOON)
+            }
             None => {}
         }
         if order.expects {
--- a/crates/mesh/tests/ownership_schedules.rs
+++ b/crates/mesh/tests/ownership_schedules.rs
@@ -1,4 +1,5 @@
-//! No key ever has two holders, whatever happens: random schedules of a whole fleet.
+//! No key ever has two holders, whatever happens: random schedules of a whole fleet whose servers are
+//! granted keys by heartbeat.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 use std::time::Duration;
@@ -8,68 +9,19 @@
 use ownership_support::Fleet;
 use ownership_support::FleetPlan;
 use ownership_support::Trouble;
+use ownership_support::check;
+use ownership_support::plan;
+use ownership_support::play;
+use quetzalrack_mesh::model::Granting;
 
-/// How many schedules of each kind run; `QUETZALRACK_SCHEDULES` asks for more.
-const USUAL: u64 = 40;
-
-fn plan(seed: u64, trouble: Trouble) -> FleetPlan {
-    FleetPlan {
-        late: 0.02,
-        seed,
-        nodes: 3 + (seed % 6) as usize,
-        trouble,
-        troubled: Duration::from_secs(40),
-        // The longest way back: a leader and most voters gone for good, noticed after two missed
-        // refreshes, and every authority without the store waited for; twice that.
-        calm: Duration::from_secs(60),
-    }
-}
-
-/// Plays one schedule and checks that no key ever had two holders, and that all have one at the end.
-fn check(seed: u64, trouble: Trouble) -> Fleet {
-    let mut fleet = Fleet::new(plan(seed, trouble));
-    fleet.play();
-    assert_eq!(fleet.problem, None, "{trouble:?}, seed {seed}");
-    assert!(
-        fleet.grants > 0,
-        "{trouble:?}, seed {seed}: nothing was ever granted"
-    );
-    let owned = fleet.lately;
-    assert!(
-        owned >= 65_536,
-        "{trouble:?}, seed {seed}: only {owned} keys have an owner at the end"
-    );
-    let (compared, different) = fleet.compare_tables();
-    assert_eq!(different, None, "{trouble:?}, seed {seed}");
-    assert!(
-        compared > 0,
-        "{trouble:?}, seed {seed}: no tables to compare"
-    );
-    fleet
-}
-
-/// Plays schedules, and returns the mean time without an owner, in seconds of all keys.
-fn play(trouble: Trouble) -> f64 {
-    let count = std::env::var("QUETZALRACK_SCHEDULES");
-    let count = count
-        .ok()
-        .and_then(|count| count.parse().ok())
-        .unwrap_or(USUAL);
-    let first = std::env::var("QUETZALRACK_SEED")
-        .ok()
-        .and_then(|seed| seed.parse().ok());
-    let first: u64 = first.unwrap_or(0);
-    let mut unowned = 0.0;
-    for seed in first..first + count {
-        unowned += check(seed, trouble).unowned as f64 / 10_000.0;
-    }
-    unowned / count as f64
+fn play_by_heartbeat(trouble: Trouble) -> f64 {
+    play(trouble, Granting::ByHeartbeat)
 }
 
 /// Nothing happens: keys have owners within the first seconds, and keep them.
 #[test]
 fn calm() {
-    let unowned = play(Trouble::Calm);
+    let unowned = play_by_heartbeat(Trouble::Calm);
     assert!(unowned < 6.0, "{unowned} s without an owner");
 }
 
@@ -77,50 +29,50 @@
 /// the new process reported that it knew of nothing held, which the leader took for a release.
 #[test]
 fn kills() {
-    play(Trouble::Kills);
+    play_by_heartbeat(Trouble::Kills);
 }
 
 /// Processes are told to leave in turn, the leader's among them, which hands its leadership on.
 #[test]
 fn leaves() {
-    play(Trouble::Leaves);
+    play_by_heartbeat(Trouble::Leaves);
 }
 
 /// Hosts lose power, now and then all at once, some for good; nobody is left who remembers.
 #[test]
 fn power() {
-    play(Trouble::Power);
+    play_by_heartbeat(Trouble::Power);
 }
 
 /// Nodes hear only some of the others, or not the store, each in its own way.
 #[test]
 fn cuts() {
-    play(Trouble::Cuts);
+    play_by_heartbeat(Trouble::Cuts);
 }
 
 /// The store is away, or does what it was asked and does not say so, or does it seconds later.
 #[test]
 fn store() {
-    play(Trouble::Store);
+    play_by_heartbeat(Trouble::Store);
 }
 
 /// Nodes stand still with answers in their hands and go on as if no time had passed.
 #[test]
 fn freezes() {
-    play(Trouble::Freezes);
+    play_by_heartbeat(Trouble::Freezes);
 }
 
 /// All of it at once.
 #[test]
 fn everything() {
-    play(Trouble::Everything);
+    play_by_heartbeat(Trouble::Everything);
 }
 
 /// The store is away and the leader is told to leave: keys have no owner until the store is back,
 /// since nobody can be named as the next leader; unless the leader hands its leadership on.
 #[test]
 fn leaves_without_store() {
-    let mut fleet = Fleet::new(plan(1, Trouble::Calm));
+    let mut fleet = Fleet::new(plan(1, Trouble::Calm, Granting::ByHeartbeat));
     fleet.lose_store(Duration::from_secs(10), Duration::from_secs(14));
     fleet.leave_leader(Duration::from_secs(14));
     fleet.play();
@@ -137,7 +89,7 @@
     for seed in [2_705, 3_741, 4_421, 4_555] {
         let mut fleet = Fleet::new(FleetPlan {
             late: 0.15,
-            ..plan(seed, Trouble::Power)
+            ..plan(seed, Trouble::Power, Granting::ByHeartbeat)
         });
         fleet.play();
         assert_eq!(fleet.problem, None, "seed {seed}");
@@ -152,7 +104,7 @@
     for seed in 0..10 {
         let mut fleet = Fleet::new(FleetPlan {
             nodes: 8,
-            ..plan(seed, Trouble::Calm)
+            ..plan(seed, Trouble::Calm, Granting::ByHeartbeat)
         });
         fleet.lose_leader(Duration::from_secs(12));
         fleet.play();
@@ -186,7 +138,7 @@
     ];
     for (trouble, seeds) in seeds {
         for seed in seeds {
-            check(seed, trouble);
+            check(seed, trouble, Granting::ByHeartbeat);
         }
     }
 }
--- a/crates/mesh/tests/ownership_support/fake_server.rs
+++ b/crates/mesh/tests/ownership_support/fake_server.rs
@@ -35,6 +35,8 @@
     pub service: &'static str,
     pub holdings: Vec<Holding>,
     pub draining: bool,
+    /// What it was granted by call; it refuses lower tokens.
+    seen: Vec<HeldRange>,
     freed: Vec<FreedRange>,
     sequence: u64,
     sent: Vec<(u64, Moment, usize)>,
@@ -50,6 +52,7 @@
             service,
             holdings: Vec::new(),
             draining: false,
+            seen: Vec::new(),
             freed: Vec::new(),
             sequence: 0,
             sent: Vec::new(),
@@ -121,6 +124,63 @@
             .any(|holding| holding.released.is_some())
     }
 
+    /// Takes a grant by call that arrived at `at`; tells whether it was accepted.
+    pub fn grant(&mut self, now: Moment, at: Moment, held: HeldRange, time: Duration) -> bool {
+        self.age(now);
+        let above =
+            |seen: &HeldRange| seen.fence > held.fence && seen.keys.common(&held.keys).is_some();
+        if self.seen.iter().any(above) {
+            return false;
+        }
+        self.seen.retain(|seen| *seen != held);
+        self.seen.push(held);
+        let mut until = at + time.mul_f64(SLOW);
+        if until <= now {
+            return true;
+        }
+        let before = std::mem::take(&mut self.holdings);
+        for old in before {
+            if old.held == held {
+                until = until.max(old.until);
+            }
+            self.keep_outside(old, &held.keys);
+        }
+        self.holdings.push(Holding {
+            held,
+            until,
+            released: None,
+        });
+        true
+    }
+
+    /// Releases what it holds of a range once `work` has ended.
+    pub fn release(&mut self, now: Moment, held: HeldRange, work: Duration) -> Option<Handover> {
+        self.age(now);
+        let before = std::mem::take(&mut self.holdings);
+        for old in before {
+            let common = old.held.keys.common(&held.keys);
+            if let Some(keys) = common.filter(|_| old.held.fence <= held.fence) {
+                self.holdings.push(Holding {
+                    held: HeldRange { keys, ..old.held },
+                    until: old.until,
+                    released: Some(old.released.unwrap_or(now + work)),
+                });
+                self.keep_outside(old, &held.keys);
+            } else {
+                self.holdings.push(old);
+            }
+        }
+        Some(Handover("word".into()))
+    }
+
+    fn keep_outside(&mut self, old: Holding, keys: &KeyRange) {
+        let parts = old.held.keys.without(keys).into_iter().flatten();
+        self.holdings.extend(parts.map(|keys| Holding {
+            held: HeldRange { keys, ..old.held },
+            ..old.clone()
+        }));
+    }
+
     fn take(&mut self, now: Moment, sent: Moment, renewal: &Renewal, work: Duration) {
         let until = sent + renewal.time.mul_f64(SLOW);
         let before = std::mem::take(&mut self.holdings);
--- a/crates/mesh/tests/ownership_support/fleet.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -1,5 +1,9 @@
 //! The fleet.
 
+mod calls;
+mod checks;
+mod troubles;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -11,7 +15,7 @@
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::boundary::AppendOutcome;
-use quetzalrack_mesh::model::KeyRange;
+use quetzalrack_mesh::model::Granting;
 use quetzalrack_mesh::model::OperatorsIntent;
 use quetzalrack_mesh::model::RoutingConfig;
 use quetzalrack_mesh::model::ServerHeartbeat;
@@ -36,6 +40,7 @@
 use super::fake_server::FakeServer;
 use super::fake_store::FakeStore;
 use super::tracing;
+use calls::CallStage;
 
 /// The service that is divided by key.
 const KEYED: &str = "keyed";
@@ -51,6 +56,8 @@
     /// The share of datagrams that come up to four seconds late.
     pub late: f64,
     pub seed: u64,
+    /// How servers are granted keys.
+    pub granting: Granting,
     pub nodes: usize,
     pub trouble: Trouble,
     /// How long troubles come.
@@ -103,6 +110,7 @@
     Heartbeat(usize, u64),
     Heard(usize, ServerHeartbeat),
     Answered(usize, u64, u64, HeartbeatAnswer),
+    Call(usize, u64, CallStage),
     StoreRead(usize, u64, Moment),
     StoreWrite(usize, u64, u64, LeaderRecord),
     ReadDone(usize, u64, Moment, LeaderRead),
@@ -323,6 +331,7 @@
             Happening::Answered(place, born, sequence, answer) => {
                 self.answered(place, born, sequence, &answer);
             }
+            Happening::Call(place, life, stage) => self.call(place, life, stage),
             Happening::StoreRead(place, life, asked) => {
                 let read = match self.reaches_store(place) {
                     true => self.store.newest(),
@@ -401,6 +410,7 @@
             traffic: address(place),
             service: service(place).parse().unwrap(),
             heartbeat: HEARTBEAT,
+            granting: self.plan.granting,
             narrow: place % 3 == 2,
             seed: self.random.random(),
         };
@@ -532,6 +542,10 @@
                     self.after(delay, Happening::Answered(place, born, sequence, answer));
                 }
             }
+            Action::CallServer(call) => {
+                let delay = self.spread(5);
+                self.after(delay, Happening::Call(place, life, CallStage::Begun(call)));
+            }
             Action::Publish | Action::FetchIntent(_) | Action::Note(_) => {}
         }
     }
@@ -553,186 +567,6 @@
             );
         }
     }
-
-    /// Looks whether another server holds what this one has just taken, and whether tokens rise.
-    fn check(&mut self, place: usize) {
-        let now = self.now;
-        for host in &mut self.nodes {
-            if let Some(server) = &mut host.server {
-                server.age(now);
-            }
-        }
-        let Some(server) = &self.nodes[place].server else {
-            return;
-        };
-        for holding in &server.holdings {
-            for (other, host) in self
-                .nodes
-                .iter()
-                .enumerate()
-                .filter(|(other, _)| *other != place)
-            {
-                let others = host.server.iter().flat_map(|server| &server.holdings);
-                for theirs in others {
-                    if let Some(keys) = theirs.held.keys.common(&holding.held.keys) {
-                        self.problem = Some(format!(
-                            "{}: node-{place} ({}) and node-{other} ({}) both hold {keys}",
-                            self.now, holding.held.fence, theirs.held.fence
-                        ));
-                    }
-                }
-            }
-        }
-        let granted: Vec<(KeyRange, u64)> = server
-            .holdings
-            .iter()
-            .map(|holding| (holding.held.keys, holding.held.fence.0))
-            .collect();
-        for (keys, fence) in granted {
-            // A sample of keys is enough: ranges have ends.
-            for key in [
-                keys.first,
-                keys.first + (keys.last - keys.first) / 2,
-                keys.last,
-            ] {
-                let highest = self.highest.entry(key).or_default();
-                if fence < *highest {
-                    self.problem =
-                        Some(format!("{now}: key {key} falls from {highest} to {fence}"));
-                }
-                self.grants += u64::from(fence > *highest);
-                *highest = fence.max(*highest);
-            }
-        }
-    }
-
-    fn trouble(&mut self) {
-        let start = Moment(1_000_000_000);
-        if self.now.since(start) > self.plan.troubled {
-            return;
-        }
-        let kinds = [
-            Trouble::Kills,
-            Trouble::Leaves,
-            Trouble::Power,
-            Trouble::Cuts,
-            Trouble::Store,
-            Trouble::Freezes,
-        ];
-        let kind = match self.plan.trouble {
-            Trouble::Everything => kinds[self.random.random_range(0..kinds.len())],
-            kind => kind,
-        };
-        // Several hosts at once, now and then all of them.
-        let most = match self.random.random_range(0..10) {
-            0 => self.nodes.len(),
-            1..=3 => self.nodes.len() / 2,
-            _ => 1,
-        };
-        for _ in 0..most.max(1) {
-            let place = self.random.random_range(0..self.nodes.len());
-            self.strike(kind, place);
-        }
-        let delay = Duration::from_millis(300) + self.spread(3_000);
-        self.after(delay, Happening::Trouble);
-    }
-
-    fn strike(&mut self, kind: Trouble, place: usize) {
-        if self.traced {
-            println!("{} {kind:?} strikes node-{place}", self.now);
-        }
-        match kind {
-            Trouble::Kills => {
-                self.nodes[place].machine = None;
-                self.nodes[place].held_up.clear();
-                let delay = Duration::from_millis(100) + self.spread(1_500);
-                self.after(delay, Happening::StartNode(place));
-            }
-            Trouble::Leaves => {
-                let life = self.nodes[place].life;
-                self.step(place, life, Event::Shutdown, Happening::Leave(place, life));
-                let delay = Duration::from_millis(2_500) + self.spread(1_500);
-                self.after(delay, Happening::Gone(place, life));
-            }
-            Trouble::Power => {
-                // Some servers that can hold keys are left in any case.
-                let keyed = |(place, host): (usize, &Host)| !host.gone && service(place) == KEYED;
-                let alive = self
-                    .nodes
-                    .iter()
-                    .enumerate()
-                    .filter(|host| keyed(*host))
-                    .count();
-                let host = &mut self.nodes[place];
-                host.machine = None;
-                host.held_up.clear();
-                host.server = None;
-                host.gone = host.gone || (alive > 2 && self.random.random_bool(0.15));
-                let delay = Duration::from_millis(300) + self.spread(5_000);
-                self.after(delay, Happening::StartServer(place));
-                let delay = Duration::from_millis(300) + self.spread(5_000);
-                self.after(delay, Happening::StartNode(place));
-            }
-            Trouble::Cuts => {
-                if self.random.random_bool(0.3) {
-                    self.store_cut.insert(place);
-                    let delay = self.spread(12_000);
-                    self.after(delay, Happening::Heal(Cure::StoreFor(place)));
-                }
-                let one_way = self.random.random_bool(0.3);
-                for other in 0..self.nodes.len() {
-                    if other == place || self.random.random_bool(0.4) {
-                        continue;
-                    }
-                    self.cuts.insert((place, other));
-                    if !one_way {
-                        self.cuts.insert((other, place));
-                    }
-                    let delay = self.spread(9_000);
-                    self.after(delay, Happening::Heal(Cure::Link(place, other)));
-                }
-            }
-            Trouble::Store => {
-                if self.random.random_bool(0.5) {
-                    self.store_down = true;
-                    let delay = self.spread(12_000);
-                    self.after(delay, Happening::Heal(Cure::Store));
-                } else {
-                    self.store_lossy = true;
-                    let delay = self.spread(6_000);
-                    self.after(delay, Happening::Heal(Cure::StoreAnswers));
-                }
-            }
-            Trouble::Freezes => {
-                if self.nodes[place].machine.is_some() {
-                    self.nodes[place].frozen = true;
-                    let delay = self.spread(6_000);
-                    self.after(delay, Happening::Heal(Cure::Thaw(place)));
-                }
-            }
-            Trouble::Calm | Trouble::Everything => {}
-        }
-    }
-
-    fn heal(&mut self, cure: Cure) {
-        match cure {
-            Cure::Thaw(place) => {
-                self.nodes[place].frozen = false;
-                for happening in std::mem::take(&mut self.nodes[place].held_up) {
-                    self.after(Duration::ZERO, happening);
-                }
-            }
-            Cure::Link(a, b) => {
-                self.cuts.remove(&(a, b));
-                self.cuts.remove(&(b, a));
-            }
-            Cure::Store => self.store_down = false,
-            Cure::StoreFor(place) => {
-                self.store_cut.remove(&place);
-            }
-            Cure::StoreAnswers => self.store_lossy = false,
-        }
-    }
 }
 
 fn address(place: usize) -> SocketAddr {
@@ -755,6 +589,7 @@
         cold_time: Duration::from_secs(3),
         cold_rate: Some(25.0),
         keyed,
+        granting: None,
     };
     let mut config = RoutingConfig {
         version: 1,
--- a/crates/rack/src/control/key_calls.rs
+++ b/crates/rack/src/control/key_calls.rs
@@ -99,12 +99,7 @@
         self.events.send(event).ok();
     }
 
-    async fn grant(
-        &self,
-        address: SocketAddr,
-        range: GrantedRange,
-        end: Moment,
-    ) -> KeyCallOutcome {
+    async fn grant(&self, address: SocketAddr, range: GrantedRange, end: Moment) -> KeyCallOutcome {
         let sent = Cell::new(None);
         // The hold is counted when a connection is open, with a clock that counts suspended time: what
         // was decided before a wait must not make it longer.
--- a/crates/rack/src/traffic/wire/dial.rs
+++ b/crates/rack/src/traffic/wire/dial.rs
@@ -32,10 +32,7 @@
 }
 
 /// Opens a connection within a time.
-pub(crate) async fn dial(
-    address: SocketAddr,
-    patience: Duration,
-) -> Result<TcpStream, DialError> {
+pub(crate) async fn dial(address: SocketAddr, patience: Duration) -> Result<TcpStream, DialError> {
     let opened = tokio::time::timeout(patience, TcpStream::connect(address)).await;
     let stream = match opened {
         Err(_) => return Err(DialError::Silent),
