--- a/crates/mesh/src/ownership/lease_times.rs
+++ b/crates/mesh/src/ownership/lease_times.rs
@@ -4,6 +4,8 @@
 
 use quetzalrack_core::time::Moment;
 
+use crate::model::Granting;
+
 /// The shortest hold that is worth asking for.
 const SHORTEST_HOLD: Duration = Duration::from_millis(100);
 
@@ -47,8 +49,7 @@
             // The store's outages last 4 to 16 s. Longer would only make keys wait longer whose
             // leader is gone for good together with most of the nodes.
             storeless: Duration::from_secs(16),
-            // Two calls for each range in that time.
-            hold: Duration::from_millis(2_000),
+            hold: Duration::from_millis(1_000),
             // The server is on the same host and answers at once; a full queue of connections or a
             // starved process takes tenths of a second.
             call: Duration::from_millis(300),
@@ -65,6 +66,25 @@
 }
 
 impl LeaseTimes {
+    /// Returns the times of a deployment whose servers are granted keys in this way. All of its nodes
+    /// must have the same, since a new leader waits for the leases that others gave.
+    pub fn of(granting: Granting, heartbeat: Duration) -> Self {
+        let usual = Self {
+            heartbeat,
+            ..Self::default()
+        };
+        match granting {
+            Granting::ByHeartbeat => usual,
+            // Nothing waits for a server's heartbeat, so a lease need only outlast the change of a
+            // leader that is lost: `suspect`, a claim, and two beats. Keys of a lost host are without
+            // an owner for less.
+            Granting::ByCall => Self {
+                lease: Duration::from_millis(2_400),
+                ..usual
+            },
+        }
+    }
+
     /// Returns how long the other side of a lease of `span` must be waited for: its clock may run
     /// three hundredths slower than ours.
     pub fn waited(span: Duration) -> Duration {
--- a/crates/mesh/tests/ownership_support/fleet/calls.rs
+++ b/crates/mesh/tests/ownership_support/fleet/calls.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 
 use super::Fleet;
+use super::HEARTBEAT;
 use super::Happening;
 
 /// How long the answer to a release is waited for.
@@ -63,7 +64,7 @@
             host.held_up.push(again);
             return;
         }
-        let times = LeaseTimes::default();
+        let times = LeaseTimes::of(self.plan.granting, HEARTBEAT);
         let now = self.now;
         let listens = host.server.is_some();
         let (held, grant, limit) = match call.request {
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -414,7 +414,11 @@
             narrow: place % 3 == 2,
             seed: self.random.random(),
         };
-        let mut machine = NodeMachine::new(self.now, profile, LeaseTimes::default());
+        let mut machine = NodeMachine::new(
+            self.now,
+            profile,
+            LeaseTimes::of(self.plan.granting, HEARTBEAT),
+        );
         machine.step(self.now, Event::Intent(intent()));
         self.nodes[place].machine = Some(machine);
         let delay = self.spread(100);
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -105,10 +105,10 @@
             events: events.clone(),
             intent,
         };
+        let usual = LeaseTimes::of(host.granting, host.heartbeat);
         let times = LeaseTimes {
-            heartbeat: host.heartbeat,
-            hold: host.bounds.hold.min(LeaseTimes::default().hold),
-            ..LeaseTimes::default()
+            hold: usual.hold.min(host.bounds.hold),
+            ..usual
         };
         let running = Running {
             machine: NodeMachine::new(clock::now(), self.settings.profile.clone(), times),
