mesh: late requests that wait in vain are refused early

Change: at each look, late requests whose turn comes too late at the rate at which their class is started are refused, with the time to come back.

--- a/crates/mesh/src/traffic/admission/admission_machine.rs
+++ b/crates/mesh/src/traffic/admission/admission_machine.rs
@@ -218,9 +218,17 @@
         let short = self.short.tickets_of(hopeless);
         let large = self.large.tickets_of(hopeless);
         for ticket in short.into_iter().chain(large) {
-            self.withdraw(ticket);
-            let back = self.return_time(SHORTEST_RETURN);
-            actions.push(AdmissionAction::Refuse(ticket, NotRun::Expired, back));
+            self.refuse(ticket, NotRun::Expired, actions);
         }
+        // Without this a late request would be held until its time is over, though it was clear long
+        // before that others take all turns; its caller could have come back meanwhile.
+        for ticket in self.waiting_in_vain(now) {
+            self.refuse(ticket, NotRun::Full, actions);
+        }
+    }
+
+    fn refuse(&mut self, ticket: Ticket, reason: NotRun, actions: &mut Vec<AdmissionAction>) {
+        self.withdraw(ticket);
+        actions.push(AdmissionAction::Refuse(ticket, reason, SHORTEST_RETURN));
     }
 }
--- a/crates/mesh/src/traffic/admission/forecast.rs
+++ b/crates/mesh/src/traffic/admission/forecast.rs
@@ -1,11 +1,13 @@
 //! When a request would be answered, and whether it is worth waiting.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use quetzalrack_core::time::Moment;
 
 use super::Admission;
 use super::Job;
+use super::Ticket;
 use super::line::Class;
 
 /// The share of a request's usual time that must be left at its turn. Work is spread widely around
@@ -71,10 +73,42 @@
             rank: job.rank,
             late: true,
         };
-        let pace = self.pace.mean().as_secs_f64().max(f64::MIN_POSITIVE);
-        let usual = self.slots as f64 / pace;
-        let wait = self.starts.time_for(now, class, ahead + 1, usual);
-        ahead > 0 && wait > job.deadline.since(now)
+        let rate = self
+            .starts
+            .rate(now, class, self.usual_rate(self.pace.mean()));
+        let wait = (ahead + 1) as f64 / rate;
+        ahead > 0 && wait > job.deadline.since(now).as_secs_f64()
+    }
+
+    /// Returns those of the waiting late requests that will not get their turn in time: so many of their
+    /// class go before them that, at the rate at which these are started, it comes too late.
+    pub(super) fn waiting_in_vain(&mut self, now: Moment) -> Vec<Ticket> {
+        // A server slowed down for tenths of a second is no reason to refuse what waits already.
+        let usual = self.usual_rate(self.pace.best_mean());
+        let late = self.short.late().chain(self.large.late());
+        let late: Vec<(Class, Ticket, Duration)> = late
+            .map(|(class, job)| {
+                let last_start = job.deadline.before(self.needed(job, NEEDED));
+                (class, job.ticket, last_start.since(now))
+            })
+            .collect();
+        let mut before: BTreeMap<Class, usize> = BTreeMap::new();
+        let mut vain = Vec::new();
+        for (class, ticket, left) in late {
+            let before = before.entry(class).or_default();
+            let wait = (*before + 1) as f64 / self.starts.rate(now, class, usual);
+            match wait > left.as_secs_f64() {
+                true => vain.push(ticket),
+                false => *before += 1,
+            }
+        }
+        vain
+    }
+
+    /// Returns how many requests a second the server can start if they take `pace`.
+    fn usual_rate(&self, pace: Duration) -> f64 {
+        let pace = pace.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.slots as f64 / pace
     }
 
     /// Returns how many would go before a request that is late or not.
--- a/crates/mesh/src/traffic/admission/line.rs
+++ b/crates/mesh/src/traffic/admission/line.rs
@@ -99,6 +99,12 @@
         wanted.map(|(_, job)| job.ticket).collect()
     }
 
+    /// Returns the late jobs, those that go first before the others.
+    pub(super) fn late(&self) -> impl Iterator<Item = (Class, &Job)> {
+        let late = self.jobs.iter().filter(|(place, _)| place.class.late);
+        late.map(|(place, job)| (place.class, job))
+    }
+
     /// Puts a job among the late ones.
     pub(super) fn demote(&mut self, ticket: Ticket) {
         if let Some(job) = self.remove(ticket) {
--- a/crates/mesh/src/traffic/admission/pace.rs
+++ b/crates/mesh/src/traffic/admission/pace.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pace {
     routes: BTreeMap<RouteName, Means>,
-    all: Option<f64>,
+    all: Option<Means>,
     time: f64,
     square: f64,
 }
@@ -29,6 +29,13 @@
     steady: f64,
 }
 
+impl Means {
+    fn learn(&mut self, time: f64) {
+        self.recent += (time - self.recent) * WEIGHT;
+        self.steady += (time - self.steady) * STEADY_WEIGHT;
+    }
+}
+
 impl Pace {
     pub(super) fn learn(&mut self, route: &RouteName, time: Duration) {
         let time = time.as_secs_f64();
@@ -36,11 +43,11 @@
             recent: time,
             steady: time,
         };
-        let means = self.routes.entry(route.clone()).or_insert(first);
-        means.recent += (time - means.recent) * WEIGHT;
-        means.steady += (time - means.steady) * STEADY_WEIGHT;
-        let all = self.all.get_or_insert(time);
-        *all += (time - *all) * WEIGHT;
+        self.routes
+            .entry(route.clone())
+            .or_insert(first)
+            .learn(time);
+        self.all.get_or_insert(first).learn(time);
         self.time += (time - self.time) * STEADY_WEIGHT;
         self.square += (time * time - self.square) * STEADY_WEIGHT;
     }
@@ -48,7 +55,7 @@
     /// Returns the mean time of a route's answers.
     pub(super) fn of(&self, route: &RouteName) -> Duration {
         let mean = self.routes.get(route).map(|means| means.recent);
-        let mean = mean.or(self.all);
+        let mean = mean.or(self.all.map(|means| means.recent));
         mean.map_or(UNKNOWN, Duration::from_secs_f64)
     }
 
@@ -60,7 +67,15 @@
 
     /// Returns the mean time of all answers.
     pub(super) fn mean(&self) -> Duration {
-        self.all.map_or(UNKNOWN, Duration::from_secs_f64)
+        self.all
+            .map_or(UNKNOWN, |means| Duration::from_secs_f64(means.recent))
+    }
+
+    /// Returns the mean time of all answers, without the tenths of a second in which it is longer.
+    pub(super) fn best_mean(&self) -> Duration {
+        self.all.map_or(UNKNOWN, |means| {
+            Duration::from_secs_f64(means.recent.min(means.steady))
+        })
     }
 
     /// Returns the mean time of the requests that make up most of the work: each weighs by its time,
--- a/crates/mesh/src/traffic/admission/start_rates.rs
+++ b/crates/mesh/src/traffic/admission/start_rates.rs
@@ -29,23 +29,17 @@
         *self.counts.entry(class).or_default() += 1.0;
     }
 
-    /// Returns how long it takes to start so many of a class, if the server can start `usual` a
-    /// second. What went to classes behind it would have gone to it, and so would what is not used.
-    pub(super) fn time_for(
-        &mut self,
-        now: Moment,
-        class: Class,
-        requests: usize,
-        usual: f64,
-    ) -> Duration {
+    /// Returns how many of a class are started a second, if the server can start `usual`. What went to
+    /// classes behind it would have gone to it, and so would what is not used.
+    pub(super) fn rate(&mut self, now: Moment, class: Class, usual: f64) -> f64 {
         self.age(now);
         let behind: f64 = self.counts.range(class..).map(|(_, count)| count).sum();
         let before: f64 = self.counts.range(..class).map(|(_, count)| count).sum();
         let spare = usual - before / MEMORY.as_secs_f64();
-        let rate = (behind / MEMORY.as_secs_f64())
+        (behind / MEMORY.as_secs_f64())
             .max(spare)
-            .max(usual * LEAST);
-        Duration::from_secs_f64(requests as f64 / rate.max(f64::MIN_POSITIVE))
+            .max(usual * LEAST)
+            .max(f64::MIN_POSITIVE)
     }
 
     fn age(&mut self, now: Moment) {
--- a/crates/mesh/tests/admission.rs
+++ b/crates/mesh/tests/admission.rs
@@ -305,3 +305,48 @@
     }
     assert!(refused * 100 < ticket, "{refused} of {ticket} were refused");
 }
+
+/// Enough requests come that can be in time to keep the server busy, and others that can't be any more
+/// wait behind them. They were held until their deadlines were nearly over and then refused, though
+/// none of them had a chance; now a caller hears so early enough to come back.
+#[test]
+fn refused_early() {
+    let mut admission = admission(10);
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let mut running: Vec<(u64, u64, u64)> = Vec::new();
+    let mut arrived = std::collections::BTreeMap::new();
+    let (mut ticket, mut refused, mut held) = (0_u64, 0_u64, 0_u64);
+    for ms in 0..10_000_u64 {
+        let mut actions = Vec::new();
+        let (done, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|(end, ..)| *end <= ms);
+        running = rest;
+        for (_, ticket, start) in done {
+            let time = Duration::from_millis(ms - start);
+            actions.extend(admission.end(at(ms), Ticket(ticket), Some(answered(&route(), time))));
+        }
+        // Half as much again as ten slots do; the server's work varies widely.
+        if random.random_bool(0.15) {
+            ticket += 1;
+            arrived.insert(ticket, ms);
+            actions.extend(admission.arrive(at(ms), job(ticket, ms, 1)));
+        }
+        actions.extend(admission.pump(at(ms)));
+        for action in &actions {
+            match action {
+                AdmissionAction::Start(Ticket(started)) => {
+                    let work = random.random_range(20..=180);
+                    running.push((ms + work, *started, ms));
+                }
+                AdmissionAction::Refuse(Ticket(ticket), ..) => {
+                    refused += 1;
+                    held += u64::from(ms - arrived[ticket] > 1_500 * 3 / 4);
+                }
+            }
+        }
+    }
+    assert!(refused > 300, "{refused}");
+    assert!(
+        held * 20 < refused,
+        "{held} of {refused} were held for three quarters of their time"
+    );
+}
