--- a/crates/mesh/src/traffic/mod.rs
+++ b/crates/mesh/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 mod key_counter;
 pub mod link;
 mod not_run;
+pub mod owner_wait;
 pub mod retry;
 
 pub use key_counter::KeyCounter;
--- a/crates/rack/src/traffic/ingress/attempts.rs
+++ b/crates/rack/src/traffic/ingress/attempts.rs
@@ -8,12 +8,8 @@
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::traffic::NotRun;
 
-use crate::traffic::job::Job;
 use crate::traffic::outcome::Lost;
 
-/// How long a key without an owner is waited for: keys that move have a new owner within about a
-/// second, and the wait costs the caller less than coming again.
-const OWNER_WAIT: Duration = Duration::from_millis(350);
 /// When to come back if no server of the service is usable.
 pub(super) const NOWHERE: Duration = Duration::from_millis(400);
 /// Follows the attempts of one request.
@@ -27,18 +23,19 @@
     pub(super) failure: Option<Response<Bytes>>,
     /// The last refusal.
     pub(super) refusal: (NotRun, Duration),
-    pub(super) owner_until: Moment,
+    /// Since when the request waits for an owner of its key, and how long it does.
+    pub(super) owner_wait: Option<(Moment, Duration)>,
 }
 
 impl Attempts {
-    pub(super) fn new(now: Moment, job: &Job) -> Self {
+    pub(super) fn new() -> Self {
         Self {
             tried: Vec::new(),
             sent: 0,
             lost: None,
             failure: None,
             refusal: (NotRun::NoServer, NOWHERE),
-            owner_until: now + OWNER_WAIT.min(job.deadline.since(now) / 3),
+            owner_wait: None,
         }
     }
 }
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -20,6 +20,7 @@
 use quetzalrack_mesh::routing::WeightWheel;
 use quetzalrack_mesh::traffic::NotRun;
 use quetzalrack_mesh::traffic::choice::Chooser;
+use quetzalrack_mesh::traffic::owner_wait::OwnerWait;
 use quetzalrack_mesh::traffic::retry::RetryBudget;
 
 use super::answer_client::not_run;
@@ -62,6 +63,7 @@
     chooser: RefCell<Chooser>,
     wheels: RefCell<HashMap<RouteName, WeightWheel>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    owner_waits: RefCell<OwnerWait>,
     running: OpenCount,
 }
 
@@ -84,6 +86,7 @@
             hops: HopClient::new(pacer),
             wheels: RefCell::default(),
             budgets: RefCell::default(),
+            owner_waits: RefCell::default(),
             running: OpenCount::default(),
         })
     }
@@ -180,8 +183,7 @@
 
     async fn place(&self, intake: &Intake) -> Response<Bytes> {
         let job = &intake.job;
-        let now = clock::now();
-        let mut attempts = Attempts::new(now, job);
+        let mut attempts = Attempts::new();
         loop {
             let now = clock::now();
             if intake.due.since(now) < WORTHWHILE {
@@ -192,7 +194,7 @@
                 Place::Node(node) => node,
                 Place::NoOwner => {
                     attempts.refusal = (NotRun::NotOwner, NOWHERE);
-                    if self.wait_for_owner(&attempts).await {
+                    if self.wait_for_owner(job, &mut attempts).await {
                         continue;
                     }
                     break;
@@ -208,8 +210,22 @@
     }
 
     /// Waits a little for a key's next owner; tells whether it is worth looking again.
-    pub(super) async fn wait_for_owner(&self, attempts: &Attempts) -> bool {
-        if clock::now() >= attempts.owner_until {
+    pub(super) async fn wait_for_owner(&self, job: &Job, attempts: &mut Attempts) -> bool {
+        let Some(key) = job.key else {
+            return false;
+        };
+        let now = clock::now();
+        let view = self.board.view();
+        let directory = &view.directory;
+        let span = || {
+            let waits = self.owner_waits.borrow();
+            let left = job.deadline.since(now);
+            (now, waits.span(now, directory, &job.service, key, left))
+        };
+        let (since, span) = *attempts.owner_wait.get_or_insert_with(span);
+        if now >= since + span {
+            let mut waits = self.owner_waits.borrow_mut();
+            waits.in_vain(now, directory, &job.service, key, span);
             return false;
         }
         // Either the table changes, or the same look is repeated a little later.
--- a/crates/rack/src/traffic/ingress/judging.rs
+++ b/crates/rack/src/traffic/ingress/judging.rs
@@ -54,7 +54,7 @@
                 attempts.refusal = (reason, back);
                 if job.key.is_some() && reason != NotRun::Full && reason != NotRun::Expired {
                     // The table is behind; the owner of the key is known soon.
-                    return self.wait_for_owner(attempts).await;
+                    return self.wait_for_owner(job, attempts).await;
                 }
                 attempts.tried.push(node);
                 reason != NotRun::Expired && attempts.tried.len() < MOST_NODES
--- a/crates/rack/tests/system/losses.rs
+++ b/crates/rack/tests/system/losses.rs
@@ -76,7 +76,16 @@
 }
 
 async fn measure(loss: Loss, store_away: bool) {
-    let mut world = World::start(&SERVICES).await;
+    let world = World::start(&SERVICES).await;
+    measure_in(world, loss, store_away).await;
+}
+
+async fn measure_by_call(loss: Loss, store_away: bool) {
+    let world = World::start_by_call(&SERVICES).await;
+    measure_in(world, loss, store_away).await;
+}
+
+async fn measure_in(mut world: World, loss: Loss, store_away: bool) {
     world.settled(START).await;
     tokio::time::sleep(REST).await;
     let mut times = Vec::new();
@@ -137,3 +146,26 @@
     assert!(took < SERVED_AGAIN, "{took:?}");
     assert_eq!(world.truth.all_broken(), Vec::<String>::new());
 }
+
+/// A server that is granted keys by call falls silent: its keys are given to others when its hold has
+/// run out.
+#[tokio::test(flavor = "multi_thread")]
+async fn called_server() {
+    measure_by_call(Loss::Server, false).await;
+    measure_by_call(Loss::Server, true).await;
+}
+
+/// A process is killed beside a server that is granted keys by call. The next one does not know what the
+/// server holds, and renews what the leader says that it does.
+#[tokio::test(flavor = "multi_thread")]
+async fn called_node() {
+    measure_by_call(Loss::Node, false).await;
+    measure_by_call(Loss::Node, true).await;
+}
+
+/// A host whose server was granted keys by call is gone for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn called_host() {
+    measure_by_call(Loss::Host, false).await;
+    measure_by_call(Loss::Host, true).await;
+}
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! The real program beside stand-ins of the platform, as separate processes on loopback.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod called_keys;
 mod explained;
 mod faults;
 mod growth;
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -2,6 +2,7 @@
 //! program beside each of them. Each test program uses a part of it.
 #![allow(dead_code, unused_imports)]
 
+mod called_keys;
 mod node_process;
 mod stand_in_server;
 mod stand_in_store;
@@ -9,6 +10,7 @@
 mod truth;
 mod world;
 
+pub use called_keys::CallFault;
 pub use node_process::Lines;
 pub use node_process::NodeProcess;
 pub use stand_in_server::ServerPlan;
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -14,6 +14,7 @@
 use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::StatusCode;
+use axum::http::Uri;
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::any;
@@ -21,6 +22,11 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+use super::called_keys::Call;
+use super::called_keys::CallFault;
+use super::called_keys::Called;
+use super::called_keys::CalledKeys;
+use super::called_keys::released;
 use super::truth::Row;
 use super::truth::Truth;
 
@@ -59,6 +65,8 @@
     born: u64,
     sequence: u64,
     holds: Vec<Row>,
+    /// What it holds by calls, where keys come that way.
+    called: CalledKeys,
     /// What it was told to release, until nothing works on it any more.
     releasing: Vec<Row>,
     until: Option<Instant>,
@@ -196,10 +204,24 @@
         self.lock().callers.clone()
     }
 
+    /// Says what becomes of the calls that grant it keys.
+    pub fn set_calls(&self, fault: CallFault) {
+        self.lock().called.fault = fault;
+    }
+
+    /// Returns how many ranges it was asked to release.
+    pub fn released(&self) -> u32 {
+        self.lock().called.released
+    }
+
     /// Returns how many keys it holds now.
     pub fn keys(&self) -> u32 {
         let state = self.lock();
-        let held = state.holds.iter();
+        let called = state.called.held();
+        let held = state
+            .holds
+            .iter()
+            .chain(called.iter().map(|called| &called.row));
         held.map(|(first, last, _)| u32::from(*last) - u32::from(*first) + 1)
             .sum()
     }
@@ -308,7 +330,59 @@
         state.finish_releases();
         let mut all = next;
         all.extend(&state.releasing);
-        self.truth.hold(life, &all, until);
+        let all: Vec<(Row, Instant)> = all.into_iter().map(|row| (row, until)).collect();
+        self.truth.hold(life, &all);
+    }
+
+    /// Takes a call about its keys.
+    async fn called(&self, call: Call) -> Response {
+        let life = self.life();
+        let fault = self.lock().called.fault;
+        if let CallFault::Late(delay) = fault {
+            let server = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                server.obey(&server.life(), &call).await;
+            });
+            return silent().await;
+        }
+        let answer = self.obey(&life, &call).await;
+        match fault {
+            CallFault::Unanswered => silent().await,
+            _ => answer,
+        }
+    }
+
+    async fn obey(&self, life: &str, call: &Call) -> Response {
+        let Some(until) = call.until else {
+            let (first, last, _) = call.row;
+            self.lock().called.release(call.row);
+            // Its answer says that nothing works on the keys any more.
+            loop {
+                let working = self.lock().working.clone();
+                if !working.iter().any(|key| (first..=last).contains(key)) {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            self.tell_truth(life);
+            return released(call.row);
+        };
+        let accepted = until > Instant::now() && self.lock().called.grant(call.row, until);
+        self.tell_truth(life);
+        match accepted {
+            true => StatusCode::OK.into_response(),
+            false => StatusCode::CONFLICT.into_response(),
+        }
+    }
+
+    fn tell_truth(&self, life: &str) {
+        let held = self.lock().called.held();
+        let rows: Vec<(Row, Instant)> = held
+            .iter()
+            .map(|Called { row, until }| (*row, *until))
+            .collect();
+        self.truth.hold(life, &rows);
     }
 
     /// Sends the last call of a server that leaves.
@@ -321,7 +395,7 @@
 }
 
 /// Returns the parts of a row that none of the others covers.
-fn left_out(row: Row, others: &[Row]) -> Vec<Row> {
+pub(super) fn left_out(row: Row, others: &[Row]) -> Vec<Row> {
     let (_, last, fence) = row;
     let mut others: Vec<&Row> = others.iter().collect();
     others.sort_unstable();
@@ -361,6 +435,9 @@
     }
 
     fn holds(&self, key: u16) -> bool {
+        if self.called.holds(key) {
+            return true;
+        }
         let mut held = self.holds.iter();
         let valid = self.until.is_some_and(|until| Instant::now() < until);
         valid && held.any(|(first, last, _)| (*first..=*last).contains(&key))
@@ -382,7 +459,18 @@
     }
 }
 
-async fn answer(State(server): State<StandInServer>, headers: HeaderMap, body: Bytes) -> Response {
+async fn answer(
+    State(server): State<StandInServer>,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    if matches!(uri.path(), "/grant" | "/release") {
+        return match Call::parse(uri.path(), &body) {
+            Some(call) => server.called(call).await,
+            None => StatusCode::BAD_REQUEST.into_response(),
+        };
+    }
     let text = |name: &str| {
         let value = headers.get(name).and_then(|value| value.to_str().ok());
         value.unwrap_or("").to_owned()
@@ -444,3 +532,8 @@
         truth.broken(format!("{id} came with another body"));
     }
 }
+
+/// Never answers; whoever called hangs up.
+async fn silent() -> Response {
+    std::future::pending().await
+}
--- a/crates/rack/tests/system/support/truth.rs
+++ b/crates/rack/tests/system/support/truth.rs
@@ -19,7 +19,7 @@
 #[derive(Default)]
 struct State {
     runs: HashMap<String, Vec<Run>>,
-    holders: HashMap<String, (Vec<Row>, Instant)>,
+    holders: HashMap<String, Vec<(Row, Instant)>>,
     /// For each key the highest token, and who had it.
     fences: HashMap<u16, (u64, String)>,
     broken: Vec<String>,
@@ -80,7 +80,7 @@
 
     /// Notes what a life of a server holds until a moment; no other may hold the same key then, and a
     /// key comes to it with a higher token than any other had.
-    pub fn hold(&self, life: &str, rows: &[Row], until: Instant) {
+    pub fn hold(&self, life: &str, rows: &[(Row, Instant)]) {
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
         let State {
@@ -89,10 +89,11 @@
             broken,
             ..
         } = &mut *state;
-        for (first, last, fence) in rows {
-            for (other, (held, end)) in holders.iter() {
-                let common = held.iter().find(|(a, b, _)| a <= last && b >= first);
-                if let Some(common) = common.filter(|_| other != life && *end > now) {
+        for ((first, last, fence), _) in rows {
+            for (other, held) in holders.iter() {
+                let mut live = held.iter().filter(|(_, end)| *end > now);
+                let common = live.find(|((a, b, _), _)| a <= last && b >= first);
+                if let Some((common, end)) = common.filter(|_| other != life) {
                     broken.push(format!(
                         "{life} gets {first}-{last}#{fence} while {other} holds {common:?} for {:?}",
                         *end - now
@@ -111,7 +112,7 @@
                 life.clone_into(holder);
             }
         }
-        holders.insert(life.to_owned(), (rows.to_vec(), until));
+        holders.insert(life.to_owned(), rows.to_vec());
     }
 
     /// Notes that a life of a server holds nothing any more.
@@ -124,8 +125,8 @@
         let now = Instant::now();
         let state = self.state.lock().unwrap();
         let mut keys = vec![false; KEYS];
-        let live = state.holders.values().filter(|(_, until)| *until > now);
-        for (first, last, _) in live.flat_map(|(rows, _)| rows) {
+        let live = state.holders.values().flatten();
+        for ((first, last, _), _) in live.filter(|(_, until)| *until > now) {
             keys[usize::from(*first)..=usize::from(*last)].fill(true);
         }
         keys.iter().filter(|held| **held).count()
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -50,6 +50,8 @@
     net: String,
     /// The bandwidth of the hosts' links, in Mbit/s.
     link: f64,
+    /// How servers are granted keys, in the words of the settings.
+    grants: &'static str,
     /// How many hosts there ever were; their names and addresses are not used again.
     made: usize,
 }
@@ -77,11 +79,20 @@
 impl World {
     /// Starts hosts, each for one service; services named `keyed` are divided by key.
     pub async fn start(services: &[&str]) -> Self {
-        Self::start_with_link(services, WIDE).await
+        Self::start_with(services, WIDE, "heartbeat").await
+    }
+
+    /// Starts hosts whose servers are granted keys by call.
+    pub async fn start_by_call(services: &[&str]) -> Self {
+        Self::start_with(services, WIDE, "request").await
     }
 
     /// Starts hosts whose links are this wide, in Mbit/s.
     pub async fn start_with_link(services: &[&str], link: f64) -> Self {
+        Self::start_with(services, link, "heartbeat").await
+    }
+
+    async fn start_with(services: &[&str], link: f64, grants: &'static str) -> Self {
         let net = format!(
             "127.{}.{}",
             1 + std::process::id() % 250,
@@ -98,6 +109,7 @@
             http: reqwest::Client::builder().no_proxy().build().unwrap(),
             net,
             link,
+            grants,
             made: 0,
         };
         for service in services {
@@ -132,6 +144,10 @@
             [clients, readiness, control, server],
             self.link,
         );
+        let text = text.replace(
+            "grants = \"heartbeat\"",
+            &format!("grants = {:?}", self.grants),
+        );
         let path = self.folder.path().join(format!("settings-{place}.toml"));
         fs::write(&path, text).unwrap();
         let plan = ServerPlan {
