--- a/crates/rack/tests/settings.rs
+++ b/crates/rack/tests/settings.rs
@@ -84,3 +84,22 @@
         assert!(message(&output).contains(field), "{}", message(&output));
     }
 }
+
+/// Without a known way of granting keys no key could ever be served; the message names the field and
+/// what it may say.
+#[test]
+fn unknown_granting() {
+    let ports = [1, 2, 3, 4].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let sound = texts::settings("127.0.0.1", 0, "plain", ports[0], ports, 1_000.0);
+    let line = "grants = \"heartbeat\"";
+    assert!(
+        run(Some(&sound.replace(line, "grants = \"request\"")))
+            .status
+            .success()
+    );
+    for (to, said) in [("", "grants"), ("grants = \"mail\"", "request")] {
+        let output = run(Some(&sound.replace(line, to)));
+        assert_eq!(output.status.code(), Some(2), "{to}");
+        assert!(message(&output).contains(said), "{}", message(&output));
+    }
+}
