mesh: a release names the highest token, and ends no grant with a higher one

Cause, by reading: where a server was granted a range twice with different tokens, a release with the lower one could leave the grant with the higher one in force, and the node took all of it for released. Change: releases go by the highest token; what has a higher one than was released stays.

--- a/crates/mesh/src/ownership/holder/called_grants/called_grant.rs
+++ b/crates/mesh/src/ownership/holder/called_grants/called_grant.rs
@@ -11,10 +11,13 @@
 pub(super) struct CalledGrant {
     pub(super) held: HeldRange,
     pub(super) life: ServerLife,
+    /// After this the server has surely lost it.
     pub(super) until: Moment,
+    /// Before this the server surely has it, unless it was released.
     pub(super) serves: Moment,
     /// Until then a call for it without an answer may be obeyed, and a release does not end it.
     pub(super) doubt: Moment,
+    /// Whether the server has released it; a call without an answer may bring it back.
     pub(super) released: bool,
     /// When it is to be renewed.
     pub(super) due: Moment,
--- a/crates/mesh/src/ownership/holder/called_grants/mod.rs
+++ b/crates/mesh/src/ownership/holder/called_grants/mod.rs
@@ -156,21 +156,25 @@
         if now < self.release_after {
             return Vec::new();
         }
+        let open = |grant: &&CalledGrant| grant.life == *life && !grant.released;
+        let mut held: Vec<HeldRange> = self
+            .grants
+            .iter()
+            .filter(open)
+            .map(|grant| grant.held)
+            .collect();
+        // A release with a lower token may leave a grant with a higher one in force.
+        held.sort_by_key(|held| std::cmp::Reverse(held.fence));
         let mut unwanted: Vec<HeldRange> = Vec::new();
-        for grant in &self.grants {
-            if grant.life != *life || grant.released {
-                continue;
-            }
-            let mut parts = vec![grant.held.keys];
+        for held in held {
+            let mut parts = vec![held.keys];
             for range in ranges {
                 parts = without(&parts, &range.held.keys);
             }
             for earlier in &unwanted {
                 parts = without(&parts, &earlier.keys);
             }
-            let parts = parts
-                .into_iter()
-                .map(|keys| HeldRange { keys, ..grant.held });
+            let parts = parts.into_iter().map(|keys| HeldRange { keys, ..held });
             unwanted.extend(parts);
         }
         // A grant on its way could be obeyed after the release; its end is waited for.
--- a/crates/mesh/src/ownership/holder/called_grants/outcomes.rs
+++ b/crates/mesh/src/ownership/holder/called_grants/outcomes.rs
@@ -8,6 +8,7 @@
 use super::CalledGrants;
 use super::Pending;
 use crate::model::FreedRange;
+use crate::model::HeldRange;
 use crate::ownership::LeaseTimes;
 use crate::ownership::holder::KeyCallId;
 use crate::ownership::holder::KeyCallOutcome;
@@ -89,14 +90,16 @@
             self.release_after = now + AGAIN;
             return None;
         };
-        let keys = pending.held.keys;
+        let HeldRange { keys, fence } = pending.held;
         let grants = std::mem::take(&mut self.grants);
         self.grants = grants
             .into_iter()
-            .flat_map(|grant| match grant.life == pending.life {
-                true => grant.after_release(now, &keys),
-                false => vec![grant],
-            })
+            .flat_map(
+                |grant| match grant.life == pending.life && grant.held.fence <= fence {
+                    true => grant.after_release(now, &keys),
+                    false => vec![grant],
+                },
+            )
             .collect();
         handover.map(|handover| FreedRange { keys, handover })
     }
