--- a/crates/rack/tests/system/support/called_keys.rs
+++ b/crates/rack/tests/system/support/called_keys.rs
@@ -124,6 +124,10 @@
 impl StandInServer {
     /// Takes a call about its keys.
     pub(super) async fn called(&self, call: Call) -> Response {
+        // A life that has ended obeys nothing.
+        if self.lock().dead {
+            return StatusCode::BAD_GATEWAY.into_response();
+        }
         let life = self.life();
         let fault = self.lock().called.fault;
         if let CallFault::Late(delay) = fault {
