--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod called_keys;
+mod cold_servers;
 mod explained;
 mod faults;
 mod growth;
--- a/crates/rack/tests/system/store_faults.rs
+++ b/crates/rack/tests/system/store_faults.rs
@@ -16,7 +16,15 @@
 /// Within which time a configuration is in force.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
+/// Within which time of its return a store's news are in force: after so long a calm host counts as in
+/// touch again.
+const AFTER_SILENCE: Duration = Duration::from_secs(3);
+
 async fn wait_for_config(world: &World) {
+    wait_for_config_within(world, IN_FORCE).await;
+}
+
+async fn wait_for_config_within(world: &World, patience: Duration) {
     let written = Instant::now();
     for place in 0..world.hosts.len() {
         loop {
@@ -24,7 +32,7 @@
             if got.status == Some(StatusCode::OK) {
                 break;
             }
-            assert!(written.elapsed() < IN_FORCE, "node-{place}: {got:?}");
+            assert!(written.elapsed() < patience, "node-{place}: {got:?}");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
@@ -123,3 +131,36 @@
     }
     assert_eq!(world.truth.all_broken(), Vec::<String>::new());
 }
+
+/// Answers nobody for a while, begun when every node has just asked for news, and writes a configuration
+/// at the end of it.
+async fn silence(world: &World, length: Duration) {
+    world.store.write("evacuate/zone-9", "{}");
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    for host in &world.hosts {
+        host.store.turn_away(Some(TurnedAway::Silent));
+    }
+    tokio::time::sleep(length).await;
+    for host in &world.hosts {
+        host.store.turn_away(None);
+    }
+    world.write_config(2);
+    wait_for_config_within(world, AFTER_SILENCE).await;
+}
+
+/// Guards against an old configuration in force for seconds after the store is back, while a read that
+/// was sent before hangs.
+#[tokio::test(flavor = "multi_thread")]
+async fn short_silence() {
+    let world = World::start(&SERVICES).await;
+    world.settled(START).await;
+    silence(&world, Duration::from_millis(1_500)).await;
+}
+
+/// Guards against the same where the hanging read is one that was sent into the silence.
+#[tokio::test(flavor = "multi_thread")]
+async fn long_silence() {
+    let world = World::start(&SERVICES).await;
+    world.settled(START).await;
+    silence(&world, Duration::from_millis(8_500)).await;
+}
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -32,6 +32,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(300);
 /// How soon the next one follows while something is to be released.
 const RELEASING: Duration = Duration::from_millis(50);
+/// The span over which arrivals at a cold server are counted.
+const SECOND: Duration = Duration::from_secs(1);
 /// How long a heartbeat waits for its answer.
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -73,6 +75,10 @@
     freed: Vec<(u16, u16, String)>,
     callers: Vec<String>,
     last_run: Option<Instant>,
+    /// When requests came that it did not send away as meant for another.
+    arrivals: Vec<Instant>,
+    /// Until when this life is cold.
+    cold_until: Option<Instant>,
     draining: bool,
     acknowledged: Option<Instant>,
     work: Duration,
@@ -197,6 +203,22 @@
         u32::try_from(own.filter(|run| run.finished || !finished).count()).unwrap()
     }
 
+    /// Makes this life cold for a while.
+    pub fn set_cold(&self, time: Duration) {
+        self.lock().cold_until = Some(Instant::now() + time);
+    }
+
+    /// Returns how many requests came to this life within its busiest second.
+    pub fn busiest_second(&self) -> usize {
+        let state = self.lock();
+        let all = &state.arrivals;
+        let within = |from: &Instant| {
+            let later = all.iter().filter(|at| *at >= from);
+            later.take_while(|at| **at < *from + SECOND).count()
+        };
+        all.iter().map(within).max().unwrap_or_default()
+    }
+
     /// Returns the services that were named as callers.
     pub fn callers(&self) -> Vec<String> {
         self.lock().callers.clone()
@@ -286,7 +308,7 @@
         let body = json!({
             "service": self.plan.service, "address": self.plan.told, "zone": "zone",
             "version": "v1", "slots": 10, "state": if state.draining { "draining" } else { "ready" },
-            "cold_left": "0ms", "sequence": state.sequence, "born": state.born, "holds": holds,
+            "cold_left": format!("{}ms", state.cold_left().as_millis()), "sequence": state.sequence, "born": state.born, "holds": holds,
             "freed": state.freed,
         });
         let url = format!("http://{}/instances/{}", self.plan.control, state.id);
@@ -365,6 +387,11 @@
 }
 
 impl Seen {
+    fn cold_left(&self) -> Duration {
+        let until = self.cold_until.unwrap_or_else(Instant::now);
+        until.saturating_duration_since(Instant::now())
+    }
+
     /// Releases what nothing works on any more.
     fn finish_releases(&mut self) {
         let working = self.working.clone();
@@ -435,7 +462,9 @@
             return (StatusCode::MISDIRECTED_REQUEST, refused, "").into_response();
         }
         state.callers.push(text("x-caller-service"));
-        state.last_run = Some(Instant::now());
+        let now = Instant::now();
+        state.last_run = Some(now);
+        state.arrivals.push(now);
         state.working.extend(key);
         let working = Working {
             state: Arc::clone(&server.state),
--- a/crates/rack/tests/system/support/stand_in_store.rs
+++ b/crates/rack/tests/system/support/stand_in_store.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use axum::Json;
@@ -38,6 +40,8 @@
 #[derive(Clone, Default)]
 pub struct Door {
     turned_away: Arc<Mutex<Option<TurnedAway>>>,
+    /// Counts the times at which it fell silent: what was asked before such a time is not answered.
+    silences: Arc<AtomicU32>,
 }
 
 /// Says how callers are turned away.
@@ -161,23 +165,36 @@
 impl Door {
     /// Turns callers away from now on, or none.
     pub fn turn_away(&self, how: Option<TurnedAway>) {
+        if how == Some(TurnedAway::Silent) {
+            self.silences.fetch_add(1, Ordering::Relaxed);
+        }
         *self.turned_away.lock().unwrap() = how;
     }
 }
 
 async fn enter(State(door): State<Door>, request: Request, next: Next) -> Response {
     let how = *door.turned_away.lock().unwrap();
+    let silences = door.silences.load(Ordering::Relaxed);
     match how {
         Some(TurnedAway::Busy) => StatusCode::SERVICE_UNAVAILABLE.into_response(),
         Some(TurnedAway::TooMany) => StatusCode::TOO_MANY_REQUESTS.into_response(),
-        Some(TurnedAway::Silent) => {
-            tokio::time::sleep(LOST).await;
-            StatusCode::SERVICE_UNAVAILABLE.into_response()
+        Some(TurnedAway::Silent) => lost().await,
+        None => {
+            let answer = next.run(request).await;
+            match silences == door.silences.load(Ordering::Relaxed) {
+                true => answer,
+                false => lost().await,
+            }
         }
-        None => next.run(request).await,
     }
 }
 
+/// Answers when nobody waits any more.
+async fn lost() -> Response {
+    tokio::time::sleep(LOST).await;
+    StatusCode::SERVICE_UNAVAILABLE.into_response()
+}
+
 async fn newest(State(store): State<StandInStore>, fields: Fields) -> Response {
     store.delay().await;
     let Some(records) = store.records(&fields) else {
