mesh, rack: nothing goes to a cold server while nobody has said what it bears

Cause: what a cold server bears stands in the operators' document. A process that starts while the store is away knows none, and the gate took a missing figure for no limit. An earlier process is ruled out: the host had been without power for two seconds.

Change: the figure is unknown, unlimited or a rate, and while it is unknown a cold server gets nothing. The request is refused at once (no_document), as are requests with a key, since only the document says whether the server must hold it. The node that was refused introduces itself, and the one without a document fetches it there; nodes that look for a leader exchange how far they have read, and the one behind fetches too. A line a second tells what a cold server got.

--- a/crates/mesh/src/ownership/event.rs
+++ b/crates/mesh/src/ownership/event.rs
@@ -50,6 +50,8 @@
     Wrote(AppendOutcome),
     /// The operators' intent changed, or was learned.
     Intent(OperatorsIntent),
+    /// A node at this address knows the operators' document and has met one that does not: this one.
+    Neighbour(SocketAddr),
     /// The load, counted anew.
     Load(NodeLoad, Vec<KeyLoad>),
     /// The process was told to leave.
--- a/crates/mesh/src/ownership/message/peer_message.rs
+++ b/crates/mesh/src/ownership/message/peer_message.rs
@@ -1,5 +1,7 @@
 //! Everything that nodes send each other as datagrams.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,6 +26,10 @@
         from: NodeLife,
         /// The epoch.
         epoch: Epoch,
+        /// How far it has read the operators' intent.
+        intent: u64,
+        /// Where it tells others what that is.
+        traffic: SocketAddr,
     },
     /// The answer.
     Say {
@@ -33,6 +39,10 @@
         epoch: Epoch,
         /// Whether it hears that leader, or a later one.
         hears: bool,
+        /// How far it has read the operators' intent.
+        intent: u64,
+        /// Where it tells others what that is.
+        traffic: SocketAddr,
     },
     /// A leader speaks to a node that does not: a new leader, or a node that knows nobody because
     /// it has started while the store is away.
--- a/crates/mesh/src/ownership/node_machine/finding.rs
+++ b/crates/mesh/src/ownership/node_machine/finding.rs
@@ -65,6 +65,8 @@
             let ask = PeerMessage::Ask {
                 from: self.profile.life.clone(),
                 epoch: record.epoch,
+                intent: self.intent.offset,
+                traffic: self.profile.traffic,
             };
             actions.push(Action::Send(voter.control, ask));
         }
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -46,16 +46,31 @@
                 }
             }
             PeerMessage::Order(order) => self.obey(now, &order, actions),
-            PeerMessage::Ask { from: _, epoch } => {
+            PeerMessage::Ask {
+                from: _,
+                epoch,
+                intent,
+                traffic,
+            } => {
+                self.fetch_newer(now, intent, traffic, actions);
                 let hears = self.hears_leader(now) && self.epoch().is_some_and(|own| own >= epoch);
                 let say = PeerMessage::Say {
                     from: self.profile.life.clone(),
                     epoch,
                     hears,
+                    intent: self.intent.offset,
+                    traffic: self.profile.traffic,
                 };
                 actions.push(Action::Send(from, say));
             }
-            PeerMessage::Say { from, epoch, hears } => {
+            PeerMessage::Say {
+                from,
+                epoch,
+                hears,
+                intent,
+                traffic,
+            } => {
+                self.fetch_newer(now, intent, traffic, actions);
                 self.search.hear(now, from.node, epoch, hears);
             }
             PeerMessage::Lead(record) => {
@@ -109,14 +124,35 @@
             self.beat_due = self.beat_due.min(now + EXPECTING);
         }
         self.directory.apply(&order.update);
-        if order.intent > self.intent.offset && now.since(self.fetched) >= FETCH_PAUSE {
-            self.fetched = now;
-            let leader = self.directory.members.get(&order.leader.node);
-            actions.extend(leader.map(|entry| Action::FetchIntent(entry.member.traffic)));
+        let leader = self.directory.members.get(&order.leader.node);
+        if let Some(traffic) = leader.map(|entry| entry.member.traffic) {
+            self.fetch_newer(now, order.intent, traffic, actions);
         }
         actions.push(Action::Publish);
     }
 
+    /// Asks a node for the operators' intent if it has read further.
+    fn fetch_newer(
+        &mut self,
+        now: Moment,
+        intent: u64,
+        traffic: SocketAddr,
+        actions: &mut Vec<Action>,
+    ) {
+        if intent > self.intent.offset && now.since(self.fetched) >= FETCH_PAUSE {
+            self.fetched = now;
+            actions.push(Action::FetchIntent(traffic));
+        }
+    }
+
+    /// Asks a neighbour for the operators' document if this node knows none: it has started while the
+    /// store is away, and others go on by theirs.
+    pub(super) fn meet(&mut self, now: Moment, neighbour: SocketAddr, actions: &mut Vec<Action>) {
+        if self.intent.config.is_none() {
+            self.fetch_newer(now, u64::MAX, neighbour, actions);
+        }
+    }
+
     fn heartbeat_age(&self, now: Moment) -> u16 {
         let age = self.server.heard_at().map(|at| now.since(at).as_millis());
         age.and_then(|age| u16::try_from(age).ok())
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -123,6 +123,7 @@
             Event::Read(asked, read) => self.learn_read(now, asked, read, &mut actions),
             Event::Wrote(outcome) => self.learn_write(now, outcome, &mut actions),
             Event::Intent(intent) => self.set_intent(now, intent),
+            Event::Neighbour(address) => self.meet(now, address, &mut actions),
             Event::Load(load, key_loads) => {
                 self.load = load;
                 self.key_loads = key_loads;
--- a/crates/mesh/src/traffic/admission/cold_gate.rs
+++ b/crates/mesh/src/traffic/admission/cold_gate.rs
@@ -5,16 +5,20 @@
 
 use quetzalrack_core::time::Moment;
 
+use super::ColdRate;
+
 /// The span over which requests to a cold server are counted.
 const SPAN: Duration = Duration::from_millis(1_000);
 /// Widens that span: what is sent evenly may arrive a little bunched.
 const BUNCHING: Duration = Duration::from_millis(50);
+/// How soon a request may ask again while the rate is not known.
+const UNKNOWN: Duration = Duration::from_millis(100);
 
 /// Holds requests back while the server is cold: above its rate it crashes, and every request in it
 /// is lost.
 #[derive(Clone, Debug, Default)]
 pub struct ColdGate {
-    rate: Option<f64>,
+    rate: ColdRate,
     until: Moment,
     sent: VecDeque<Moment>,
     /// Until when an earlier process may have sent all that a second allows.
@@ -29,8 +33,8 @@
         self.inherited_until = now + SPAN + BUNCHING;
     }
 
-    /// Sets the rate that a cold server bears, in requests a second.
-    pub fn set_rate(&mut self, rate: Option<f64>) {
+    /// Sets what a cold server bears.
+    pub fn set_rate(&mut self, rate: ColdRate) {
         self.rate = rate;
     }
 
@@ -41,18 +45,19 @@
 
     /// Returns when the next request may go; none if it may go now.
     pub fn wait(&mut self, now: Moment) -> Option<Duration> {
-        while self
-            .sent
-            .front()
-            .is_some_and(|at| now.since(*at) >= SPAN + BUNCHING)
-        {
-            self.sent.pop_front();
+        self.forget(now);
+        if !self.is_cold(now) {
+            return None;
         }
-        let rate = self.rate.filter(|_| now < self.until)?;
+        let most = match self.rate {
+            ColdRate::Unknown => return Some(UNKNOWN),
+            ColdRate::Unlimited => return None,
+            ColdRate::PerSecond(rate) => rate.max(1.0),
+        };
         if now < self.inherited_until {
             return Some(self.inherited_until.since(now));
         }
-        if (self.sent.len() as f64) + 1.0 <= rate.max(1.0) {
+        if (self.sent.len() as f64) + 1.0 <= most {
             return None;
         }
         let oldest = self.sent.front()?;
@@ -66,6 +71,34 @@
 
     /// Tells whether the server is cold.
     pub fn is_cold(&self, now: Moment) -> bool {
-        self.rate.is_some() && now < self.until
+        self.rate != ColdRate::Unlimited && now < self.until
+    }
+
+    /// Tells whether the server is cold and nobody has said what it bears: nothing may go.
+    pub fn is_shut(&self, now: Moment) -> bool {
+        self.rate == ColdRate::Unknown && now < self.until
+    }
+
+    /// Returns how many requests went within the last second.
+    pub fn recent(&mut self, now: Moment) -> usize {
+        self.forget(now);
+        self.sent.len()
+    }
+
+    /// Returns what a cold server bears, as far as known.
+    pub fn rate(&self) -> ColdRate {
+        self.rate
+    }
+
+    /// Returns until when the server is cold.
+    pub fn until(&self) -> Moment {
+        self.until
+    }
+
+    fn forget(&mut self, now: Moment) {
+        let old = |at: &Moment| now.since(*at) >= SPAN + BUNCHING;
+        while self.sent.front().is_some_and(old) {
+            self.sent.pop_front();
+        }
     }
 }
--- a/crates/mesh/src/traffic/admission/mod.rs
+++ b/crates/mesh/src/traffic/admission/mod.rs
@@ -7,6 +7,7 @@
 mod admission_machine;
 mod answered;
 mod cold_gate;
+mod cold_rate;
 mod forecast;
 mod job;
 mod line;
@@ -17,5 +18,6 @@
 pub use admission_machine::AdmissionAction;
 pub use answered::Answered;
 pub use cold_gate::ColdGate;
+pub use cold_rate::ColdRate;
 pub use job::Job;
 pub use job::Ticket;
--- a/crates/mesh/src/traffic/not_run.rs
+++ b/crates/mesh/src/traffic/not_run.rs
@@ -8,6 +8,9 @@
 pub enum NotRun {
     /// No backend server of the service is known beside the node.
     NoServer,
+    /// The backend server is cold, and the node does not know the operators' document that says what
+    /// it bears.
+    NoDocument,
     /// The backend server leaves, or its zone is being emptied.
     Draining,
     /// The backend server does not hold the key now.
@@ -31,8 +34,9 @@
 pub struct ParseNotRunError(String);
 
 impl NotRun {
-    const ALL: [(Self, &'static str); 8] = [
+    const ALL: [(Self, &'static str); 9] = [
         (Self::NoServer, "no_server"),
+        (Self::NoDocument, "no_document"),
         (Self::Draining, "draining"),
         (Self::NotOwner, "not_owner"),
         (Self::Full, "full"),
--- a/crates/mesh/tests/admission.rs
+++ b/crates/mesh/tests/admission.rs
@@ -9,6 +9,7 @@
 use quetzalrack_mesh::traffic::admission::Admission;
 use quetzalrack_mesh::traffic::admission::AdmissionAction;
 use quetzalrack_mesh::traffic::admission::Answered;
+use quetzalrack_mesh::traffic::admission::ColdRate;
 use quetzalrack_mesh::traffic::admission::Job;
 use quetzalrack_mesh::traffic::admission::Ticket;
 use rand::Rng;
@@ -128,7 +129,7 @@
 #[test]
 fn cold_server() {
     let mut admission = admission(18);
-    admission.cold().set_rate(Some(25.0));
+    admission.cold().set_rate(ColdRate::PerSecond(25.0));
     admission.cold().set_cold(at(60_000));
     let mut sent: Vec<u64> = Vec::new();
     let mut ticket = 0;
@@ -177,7 +178,7 @@
     let cold = |started: u64| {
         let mut admission = admission(10);
         admission.cold().start(at(started));
-        admission.cold().set_rate(Some(35.0));
+        admission.cold().set_rate(ColdRate::PerSecond(35.0));
         admission.cold().set_cold(at(60_000));
         admission
     };
@@ -195,6 +196,27 @@
     }
 }
 
+/// Guards against a flood of a cold server while nobody has said what it bears.
+#[test]
+fn cold_without_rate() {
+    let mut admission = admission(18);
+    admission.cold().set_cold(at(5_000));
+    for ticket in 0..50 {
+        assert!(started(&admission.arrive(at(ticket), job(ticket, ticket, 1))).is_empty());
+    }
+    assert!(admission.cold().is_shut(at(60)));
+    admission.cold().set_rate(ColdRate::PerSecond(20.0));
+    assert_eq!(started(&admission.pump(at(60))).len(), 18);
+}
+
+/// Guards against a warm server without work while nobody has said what a cold one bears.
+#[test]
+fn warm_without_rate() {
+    let mut admission = admission(18);
+    admission.cold().set_cold(at(100));
+    assert_eq!(started(&admission.arrive(at(200), job(1, 200, 1))), [1]);
+}
+
 /// A caller leaves while it waits; its place is free and nobody is sent in its name.
 #[test]
 fn caller_leaves() {
--- a/crates/rack/src/control/running.rs
+++ b/crates/rack/src/control/running.rs
@@ -108,6 +108,9 @@
             log::warn!(event = "server_gone", why = "its port refuses connections"; "");
             self.step(Event::Server(ServerEvent::Gone), None);
         }
+        if let Some(neighbour) = self.board.take_neighbour() {
+            self.step(Event::Neighbour(neighbour), None);
+        }
         self.step(Event::Tick, None);
     }
 
--- a/crates/rack/src/shared/board.rs
+++ b/crates/rack/src/shared/board.rs
@@ -1,10 +1,12 @@
 //! Where the two threads leave their news.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use quetzalrack_core::time::Moment;
 use tokio::sync::Notify;
 
@@ -17,6 +19,7 @@
     view: ArcSwap<NodeView>,
     changed: Notify,
     report: ArcSwap<TrafficReport>,
+    neighbour: ArcSwapOption<SocketAddr>,
     /// Since when the process leaves, in nanoseconds of the clock; 0 while it does not.
     leaving: AtomicU64,
 }
@@ -48,6 +51,16 @@
         self.report.store(Arc::new(report));
     }
 
+    /// Takes the address of a node that knows the operators' document, if one has told it.
+    pub fn take_neighbour(&self) -> Option<SocketAddr> {
+        self.neighbour.swap(None).as_deref().copied()
+    }
+
+    /// Notes the address of a node that knows the operators' document.
+    pub fn meet(&self, neighbour: SocketAddr) {
+        self.neighbour.store(Some(Arc::new(neighbour)));
+    }
+
     /// Tells the traffic that the process leaves from now on.
     pub fn set_leaving(&self, now: Moment) {
         self.leaving.store(now.0, Ordering::Release);
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -8,6 +8,7 @@
 
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::ids::ZoneName;
+use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::KeyRange;
 use quetzalrack_mesh::model::LinkRate;
 use quetzalrack_mesh::model::ServerLife;
@@ -15,6 +16,8 @@
 use quetzalrack_mesh::ownership::NodeLoad;
 use quetzalrack_mesh::traffic::KeyCounter;
 use quetzalrack_mesh::traffic::NotRun;
+use quetzalrack_mesh::traffic::admission::Admission;
+use quetzalrack_mesh::traffic::admission::ColdRate;
 
 use super::server_link::ServerLink;
 use super::turn::Turns;
@@ -39,6 +42,9 @@
 /// one heartbeat, and some.
 const AFTER_EVACUATION: Duration = Duration::from_millis(1_500);
 
+/// How often a line tells how many requests went to a cold server.
+const COLD_LINE: Duration = Duration::from_millis(1_000);
+
 /// Serves jobs at the backend server beside the node.
 pub(in crate::traffic) struct Egress {
     board: Arc<Board>,
@@ -50,6 +56,8 @@
     turns: Rc<Turns>,
     keys: RefCell<KeyCounter>,
     slowness: Cell<u16>,
+    /// When the last line about requests to a cold server was written.
+    cold_line: Cell<Moment>,
     evacuated: Cell<bool>,
     life: RefCell<Option<ServerLife>>,
     running: OpenCount,
@@ -75,6 +83,7 @@
             turns: Rc::default(),
             keys: RefCell::default(),
             slowness: Cell::new(100),
+            cold_line: Cell::default(),
             evacuated: Cell::default(),
             life: RefCell::default(),
             running: OpenCount::default(),
@@ -118,6 +127,7 @@
         let view = self.board.view();
         self.refresh(&view);
         let now = clock::now();
+        self.note_cold(now, &view);
         let serving = view.server.as_ref().map(|server| server.serving.as_slice());
         let held: Vec<KeyRange> = serving
             .unwrap_or_default()
@@ -174,6 +184,10 @@
         if job.service != self.service {
             return Err(NotRun::NoServer);
         }
+        let shut = |admission: &mut Admission| admission.cold().is_shut(clock::now());
+        if self.turns.ask(shut) {
+            return Err(NotRun::NoDocument);
+        }
         if server.draining || view.intent.evacuated.contains(&self.zone) {
             return Err(NotRun::Draining);
         }
@@ -183,6 +197,8 @@
             .as_ref()
             .and_then(|config| config.services.get(&self.service));
         match job.key {
+            // Whether the server may run it follows from what the document says of its service.
+            Some(_) if view.intent.config.is_none() => Err(NotRun::NoDocument),
             Some(key) if keyed.is_some_and(|service| service.keyed) => {
                 let holds = server.holds(clock::now(), key);
                 holds.then_some(server).ok_or(NotRun::NotOwner)
@@ -200,13 +216,7 @@
         let evacuated = view.intent.evacuated.contains(&self.zone);
         let returned = self.evacuated.replace(evacuated) && !evacuated;
         let reborn = self.life.replace(Some(server.life.clone())) != Some(server.life.clone());
-        let config = view.intent.config.as_ref();
-        let rate = config.and_then(|config| config.services.get(&self.service)?.cold_rate);
-        // The bound holds for any second, so the rate itself may be exceeded a little.
-        let rate = rate.map(|rate| {
-            let excess = rate * (self.bounds.cold_factor - 1.0) + self.bounds.cold_slack;
-            rate + excess * COLD_PART
-        });
+        let rate = self.cold_rate(view);
         self.turns.update(|admission| {
             admission.set_slots(server.slots);
             let cold = admission.cold();
@@ -221,6 +231,36 @@
         });
     }
 
+    fn cold_rate(&self, view: &NodeView) -> ColdRate {
+        let config = view.intent.config.as_ref();
+        let Some(service) = config.and_then(|config| config.services.get(&self.service)) else {
+            return ColdRate::Unknown;
+        };
+        let Some(rate) = service.cold_rate else {
+            return ColdRate::Unlimited;
+        };
+        // The bound holds for any second, so the rate itself may be exceeded a little.
+        let excess = rate * (self.bounds.cold_factor - 1.0) + self.bounds.cold_slack;
+        ColdRate::PerSecond(rate + excess * COLD_PART)
+    }
+
+    /// Writes a line for each second in which a cold server got requests.
+    fn note_cold(&self, now: Moment, view: &NodeView) {
+        let cold = self.turns.ask(|admission| {
+            let cold = admission.cold();
+            let sent = cold.recent(now);
+            (cold.is_cold(now) && sent > 0).then(|| (sent, cold.rate(), cold.until()))
+        });
+        let due = now.since(self.cold_line.get()) >= COLD_LINE;
+        if let (Some((sent, rate, until)), Some(server), true) = (cold, &view.server, due) {
+            self.cold_line.set(now);
+            log::info!(
+                event = "cold_server", server:% = server.life, sent = sent, rate:? = rate,
+                cold_ms = until.since(now).as_millis() as u64, intent = view.intent.offset; ""
+            );
+        }
+    }
+
     fn load(&self) -> NodeLoad {
         let (running, waiting) = self.turns.busy();
         let view = self.board.view();
--- a/crates/rack/src/traffic/egress/turn.rs
+++ b/crates/rack/src/traffic/egress/turn.rs
@@ -58,6 +58,14 @@
         change(&mut self.admission.borrow_mut());
     }
 
+    /// Asks admission.
+    pub(super) fn ask<A, T>(&self, question: A) -> T
+    where
+        A: FnOnce(&mut Admission) -> T,
+    {
+        question(&mut self.admission.borrow_mut())
+    }
+
     /// Returns how many requests run and how many wait.
     pub(super) fn busy(&self) -> (usize, usize) {
         let admission = self.admission.borrow();
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -4,9 +4,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::Method;
+use http::Request;
 use http::Response;
+use http::Uri;
+use http_body_util::Full;
 use quetzalrack_mesh::traffic::NotRun;
 
+use super::INTENT_PATH;
 use super::hop_answer;
 use super::hop_request;
 use crate::clock;
@@ -52,6 +57,23 @@
         dial(address, REACHED).await.is_ok()
     }
 
+    /// Tells a node that knows no document that the one at `neighbour` does.
+    pub(in crate::traffic) async fn introduce(&self, address: SocketAddr, neighbour: SocketAddr) {
+        let body = match postcard::to_allocvec(&neighbour) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!(event = "neighbour_not_written"; "{error}");
+                return;
+            }
+        };
+        let mut request = Request::new(Full::new(body.into()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(INTENT_PATH);
+        let exchange = self.pool.exchange(address, request, LIMITS.idle, |_| true);
+        // Lost, it is said again with the next request that is refused there.
+        tokio::time::timeout(REACHED, exchange).await.ok();
+    }
+
     /// Sends a job to the node at `address` and returns what became of it there.
     pub(in crate::traffic) async fn send(&self, address: SocketAddr, job: &Job) -> Report {
         let now = clock::now();
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -72,14 +73,19 @@
     }
 
     async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
-        if request.uri().path() == INTENT_PATH {
+        let of_intent = request.uri().path() == INTENT_PATH;
+        if of_intent && request.method() == Method::GET {
             return Ok(self.intent());
         }
         let (parts, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
             return Ok(malformed());
         };
-        let Some(job) = hop_request::read(clock::now(), parts, body.to_bytes()) else {
+        let body = body.to_bytes();
+        if of_intent {
+            return Ok(self.meet(&body));
+        }
+        let Some(job) = hop_request::read(clock::now(), parts, body) else {
             return Ok(malformed());
         };
         let report = match self.board.is_leaving() && self.egress.is_closed() {
@@ -92,6 +98,20 @@
         Ok(hop_answer::write(report))
     }
 
+    /// Notes a node that knows the operators' document.
+    fn meet(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        match postcard::from_bytes(body) {
+            Ok(neighbour) => {
+                self.board.meet(neighbour);
+                Response::default()
+            }
+            Err(error) => {
+                log::warn!(event = "neighbour_unreadable"; "{error}");
+                malformed()
+            }
+        }
+    }
+
     fn intent(&self) -> Response<Full<Bytes>> {
         let view = self.board.view();
         match postcard::to_allocvec(view.intent.as_ref()) {
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -59,7 +59,7 @@
     pub(super) board: Arc<Board>,
     pub(super) metrics: Arc<Metrics>,
     egress: Rc<Egress>,
-    hops: HopClient,
+    hops: Rc<HopClient>,
     chooser: RefCell<Chooser>,
     wheels: RefCell<HashMap<RouteName, WeightWheel>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -83,7 +83,7 @@
             board,
             metrics,
             egress,
-            hops: HopClient::new(pacer),
+            hops: Rc::new(HopClient::new(pacer)),
             wheels: RefCell::default(),
             budgets: RefCell::default(),
             owner_waits: RefCell::default(),
@@ -255,6 +255,13 @@
                 load: None,
             },
         };
+        if let Outcome::NotRun(NotRun::NoDocument, _) = report.outcome
+            && let Some(own) = view.directory.members.get(&self.me)
+        {
+            let (to, own) = (entry.member.traffic, own.member.traffic);
+            let hops = Rc::clone(&self.hops);
+            tokio::task::spawn_local(async move { hops.introduce(to, own).await });
+        }
         let now = clock::now();
         let mut chooser = self.chooser.borrow_mut();
         let failed = match &report.outcome {
