mesh, rack: no word of the operators rests on a read that waits

Cause: a read that waits up to 6 s for news looks the same whether there are none or the store is away, and was given up after 7.5 s. A node cut off alone is ruled out: all went on at the same time. Class: an absence of news taken for a confirmation.

Change: a state machine, IntentWatch, decides when the topic is read. The leader asks every second and its orders say how old its word is; who has read as far counts as confirmed that much. A node that nobody confirmed for 2 s asks for itself, a waiting read that is late by 0.5 s is given up for one that does not wait, and after a failure the next one does not wait either. A node knows how old its word is; not_served says it.

Also: a page of the newest records that lags behind what is known is not taken for news, as its end would leave a version out for good (by reading; not seen).

--- a/crates/mesh/src/ownership/action.rs
+++ b/crates/mesh/src/ownership/action.rs
@@ -1,6 +1,7 @@
 //! What a node's control asks for.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::HeartbeatAnswer;
 use super::KeyCall;
@@ -28,6 +29,11 @@
     CallServer(KeyCall),
     /// The directory or the lease has changed.
     Publish,
+    /// Read the operators' topic, in place of any read that is on its way.
+    ReadIntent {
+        /// How long the store may wait for news.
+        wait: Duration,
+    },
     /// Ask a node for the operators' intent, since it has read further.
     FetchIntent(SocketAddr),
     /// Write a line into the log: what is believed from now on, and the inputs.
--- a/crates/mesh/src/ownership/event.rs
+++ b/crates/mesh/src/ownership/event.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::IntentRead;
 use super::KeyCallId;
 use super::KeyCallOutcome;
 use super::KeyLoad;
@@ -50,6 +51,8 @@
     Wrote(AppendOutcome),
     /// The operators' intent changed, or was learned.
     Intent(OperatorsIntent),
+    /// A read of the operators' topic has ended.
+    IntentRead(IntentRead),
     /// A node at this address knows the operators' document and has met one that does not: this one.
     Neighbour(SocketAddr),
     /// The load, counted anew.
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -50,6 +50,8 @@
     pub(super) fence: FencingToken,
     pub(super) tables: Tables,
     pub(super) intent: OperatorsIntent,
+    /// Up to when that holds all that was acknowledged.
+    pub(super) confirmed: Moment,
     /// When the leadership was handed to this leader, until it has an authority of its own.
     pub(super) starting: Option<Moment>,
     /// Decisions for the log: what, and the inputs.
@@ -112,6 +114,7 @@
             clocks: BTreeMap::new(),
             tables,
             intent,
+            confirmed: Moment::default(),
             starting: None,
             notes: Vec::new(),
         }
@@ -138,6 +141,11 @@
         self.intent = intent;
     }
 
+    /// Learns up to when the intent holds all that was acknowledged.
+    pub(in crate::ownership) fn confirm_intent(&mut self, at: Moment) {
+        self.confirmed = at;
+    }
+
     /// Takes one beat and answers it.
     pub(in crate::ownership) fn hear(
         &mut self,
@@ -173,11 +181,13 @@
             life: beat.member.life.life,
             sequence: beat.sequence,
             stamp: now.0,
-            lease: u32::try_from(lease.as_millis()).unwrap_or(u32::MAX),
+            lease: milliseconds(lease),
             expects: !current || self.expects(&node),
             assignment,
             update: self.update_for(beat),
             intent: self.intent.offset,
+            // Rounded up, so that nobody takes the word for newer than it is.
+            intent_age: milliseconds(now.since(self.confirmed)).saturating_add(1),
         };
         if beat.intent > self.intent.offset {
             actions.push(Action::FetchIntent(beat.member.traffic));
@@ -266,3 +276,7 @@
             .map(|peer| &peer.member)
     }
 }
+
+fn milliseconds(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/mesh/src/ownership/message/order.rs
+++ b/crates/mesh/src/ownership/message/order.rs
@@ -44,4 +44,6 @@
     pub update: TableUpdate,
     /// How far the leader has read the operators' intent.
     pub intent: u64,
+    /// How many milliseconds ago the leader had all that was acknowledged.
+    pub intent_age: u32,
 }
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -42,6 +42,7 @@
         match message {
             PeerMessage::Beat(beat) => {
                 if let Some(leader) = &mut self.leader {
+                    leader.confirm_intent(self.intent_watch.confirmed());
                     leader.hear(now, from, &beat, actions);
                 }
             }
@@ -124,6 +125,10 @@
             self.beat_due = self.beat_due.min(now + EXPECTING);
         }
         self.directory.apply(&order.update);
+        if order.intent <= self.intent.offset {
+            let age = Duration::from_millis(u64::from(order.intent_age));
+            self.intent_watch.confirm(sent.before(age));
+        }
         let leader = self.directory.members.get(&order.leader.node);
         if let Some(traffic) = leader.map(|entry| entry.member.traffic) {
             self.fetch_newer(now, order.intent, traffic, actions);
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -4,6 +4,7 @@
 mod finding;
 mod follower;
 mod following;
+mod intent_watch;
 mod node_profile;
 mod note;
 mod serving;
@@ -37,6 +38,8 @@
 use crate::ownership::leader::Leader;
 use crate::ownership::leader::LeaderStart;
 use follower::Following;
+use intent_watch::IntentWatch;
+use intent_watch::Reliance;
 use note::note;
 
 /// Decides for one node whom it follows, whether it leads, and what its backend server may hold.
@@ -63,6 +66,7 @@
     leader: Option<Leader>,
     claim: Option<LeaderStart>,
     intent: OperatorsIntent,
+    intent_watch: IntentWatch,
     fetched: Moment,
     load: NodeLoad,
     key_loads: Vec<KeyLoad>,
@@ -99,6 +103,7 @@
             leader: None,
             claim: None,
             intent: OperatorsIntent::default(),
+            intent_watch: IntentWatch::default(),
             fetched: Moment::default(),
             load: NodeLoad::default(),
             key_loads: Vec::new(),
@@ -123,6 +128,10 @@
             Event::Read(asked, read) => self.learn_read(now, asked, read, &mut actions),
             Event::Wrote(outcome) => self.learn_write(now, outcome, &mut actions),
             Event::Intent(intent) => self.set_intent(now, intent),
+            Event::IntentRead(read) => {
+                let reliance = self.reliance(now);
+                self.intent_watch.ended(now, read, reliance);
+            }
             Event::Neighbour(address) => self.meet(now, address, &mut actions),
             Event::Load(load, key_loads) => {
                 self.load = load;
@@ -138,6 +147,9 @@
         }
         self.stand_down_if_over(now, &mut actions);
         self.call_server(now, &mut actions);
+        let reliance = self.reliance(now);
+        let read = self.intent_watch.step(now, reliance);
+        actions.extend(read.map(|wait| Action::ReadIntent { wait }));
         if now >= self.beat_due {
             self.beat(now, &mut actions);
         }
@@ -154,6 +166,11 @@
         &self.intent
     }
 
+    /// Returns up to when the operators' intent holds all that was acknowledged.
+    pub fn intent_confirmed(&self) -> Moment {
+        self.intent_watch.confirmed()
+    }
+
     /// Returns the newest heartbeat of the backend server, unless that is gone.
     pub fn server(&self) -> Option<&ServerHeartbeat> {
         let usable = !self.server_gone && !self.server.has_left();
@@ -193,6 +210,14 @@
             .map(|following| following.record.epoch)
     }
 
+    fn reliance(&self, now: Moment) -> Reliance {
+        match () {
+            () if self.leads() => Reliance::Leads,
+            () if self.hears_leader(now) => Reliance::Follows,
+            () => Reliance::Nobody,
+        }
+    }
+
     fn me(&self) -> &NodeName {
         &self.profile.life.node
     }
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -550,7 +550,10 @@
                 let delay = self.spread(5);
                 self.after(delay, Happening::Call(place, life, CallStage::Begun(call)));
             }
-            Action::Publish | Action::FetchIntent(_) | Action::Note(_) => {}
+            Action::Publish
+            | Action::FetchIntent(_)
+            | Action::ReadIntent { .. }
+            | Action::Note(_) => {}
         }
     }
 
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -97,8 +97,8 @@
             events: events.clone(),
             metrics: Arc::clone(&self.metrics),
             intent: Rc::clone(&intent),
+            away: Rc::default(),
         };
-        tokio::task::spawn_local(reader.run());
         let http = reqwest::Client::builder().no_proxy().http1_only().build();
         let peers = PeerIntent {
             http: http.map_err(io::Error::other)?,
@@ -122,6 +122,8 @@
             },
             metrics: self.metrics,
             peers,
+            reader,
+            reading: None,
             intent_offset: None,
             view: NodeView::default(),
             gone_told: false,
--- a/crates/rack/src/control/intent_reader.rs
+++ b/crates/rack/src/control/intent_reader.rs
@@ -1,33 +1,26 @@
-//! Following what operators write to the store.
+//! Reading what operators write to the store.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::boundary::KeyedRecord;
 use quetzalrack_mesh::boundary::ReadOutcome;
 use quetzalrack_mesh::boundary::SharedStore;
 use quetzalrack_mesh::model::OperatorsIntent;
 use quetzalrack_mesh::ownership::Event;
+use quetzalrack_mesh::ownership::IntentRead;
 use quetzalrack_platform::operator::IntentChange;
 use quetzalrack_platform::operator::parse_record;
 use quetzalrack_platform::store::OPERATORS_TOPIC;
 use tokio::sync::mpsc;
 
+use crate::clock;
 use crate::metrics::Metrics;
 
-/// How long one read waits for news. Each read is a call that is paid for; a connection that has
-/// gone silent is noticed by its probes meanwhile.
-const LONG_POLL: Duration = Duration::from_secs(6);
-/// How long after a change the next read follows: operators write in quick succession now and then,
-/// and one read brings all of it.
-const AFTER_CHANGE: Duration = Duration::from_millis(200);
-/// How long after a failed read the next one follows, at first and at most.
-const AFTER_FAILURE: Duration = Duration::from_millis(250);
-/// See [`AFTER_FAILURE`].
-const AFTER_FAILURES: Duration = Duration::from_millis(1_000);
-
 /// Keeps the newest intent, read from the store or told by another node.
 #[derive(Clone)]
 pub(super) struct IntentReader {
@@ -35,47 +28,51 @@
     pub(super) events: mpsc::UnboundedSender<Event>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) intent: Rc<RefCell<OperatorsIntent>>,
+    /// Whether the newest read failed.
+    pub(super) away: Rc<Cell<bool>>,
 }
 
 impl IntentReader {
-    /// Follows the operators' topic until the process ends.
-    pub(super) async fn run(self) {
-        let mut pause = AFTER_FAILURE;
-        let mut away = false;
-        loop {
-            let from = self.intent.borrow().offset;
-            let known = self.intent.borrow().config.is_some();
-            let outcome = match known {
-                true => self.store.read(OPERATORS_TOPIC, from, LONG_POLL).await,
-                false => self.store.newest(OPERATORS_TOPIC).await,
-            };
-            let reached = outcome != ReadOutcome::Unavailable;
-            self.metrics
-                .store_call("intent", if reached { "ok" } else { "failed" });
-            if reached == away {
-                away = !reached;
-                let event = if away { "store_lost" } else { "store_regained" };
-                log::warn!(event = event, intent = from; "");
+    /// Reads once, and reports news and how it ended.
+    pub(super) async fn read(self, wait: Duration) {
+        let begun = clock::now();
+        let from = self.intent.borrow().offset;
+        let known = self.intent.borrow().config.is_some();
+        let outcome = match known {
+            true => self.store.read(OPERATORS_TOPIC, from, wait).await,
+            false => self.store.newest(OPERATORS_TOPIC).await,
+        };
+        let reached = outcome != ReadOutcome::Unavailable;
+        self.note(reached, from, clock::now().since(begun));
+        let ended = match outcome {
+            ReadOutcome::Records { records, .. } if known && records.is_empty() => {
+                IntentRead::NoNews { begun }
             }
-            match outcome {
-                ReadOutcome::Records { records, next, .. } if known => {
-                    pause = AFTER_FAILURE;
-                    if !records.is_empty() {
-                        self.apply(records, next);
-                        tokio::time::sleep(AFTER_CHANGE).await;
-                    }
-                }
-                ReadOutcome::Records { records, end, .. } => self.replace(records, end).await,
-                // The records after ours are gone; the newest of each key are not.
-                ReadOutcome::Expired => match self.store.newest(OPERATORS_TOPIC).await {
-                    ReadOutcome::Records { records, end, .. } => self.replace(records, end).await,
-                    _ => tokio::time::sleep(AFTER_FAILURE).await,
-                },
-                ReadOutcome::Unavailable => {
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(AFTER_FAILURES);
-                }
+            ReadOutcome::Records { records, next, .. } if known => {
+                self.apply(records, next);
+                IntentRead::News { begun }
             }
+            ReadOutcome::Records { records, end, .. } => self.replace(begun, records, end),
+            // The records after ours are gone; the newest of each key are not.
+            ReadOutcome::Expired => match self.store.newest(OPERATORS_TOPIC).await {
+                ReadOutcome::Records { records, end, .. } => self.replace(begun, records, end),
+                ReadOutcome::Expired | ReadOutcome::Unavailable => IntentRead::Failed,
+            },
+            ReadOutcome::Unavailable => IntentRead::Failed,
+        };
+        // The control loop ends only with the process.
+        self.events.send(Event::IntentRead(ended)).ok();
+    }
+
+    fn note(&self, reached: bool, from: u64, took: Duration) {
+        self.metrics
+            .store_call("intent", if reached { "ok" } else { "failed" });
+        if self.away.replace(!reached) == reached {
+            let event = match reached {
+                true => "store_regained",
+                false => "store_lost",
+            };
+            log::warn!(event = event, intent = from, read_ms = took.as_millis() as u64; "");
         }
     }
 
@@ -89,20 +86,18 @@
         }
     }
 
-    async fn replace(&self, records: Vec<KeyedRecord>, end: u64) {
+    fn replace(&self, begun: Moment, records: Vec<KeyedRecord>, end: u64) -> IntentRead {
         let mut intent = OperatorsIntent::default();
         self.change(&mut intent, records);
         let (known, read) = (self.version(&self.intent.borrow()), self.version(&intent));
-        if known > read {
-            // A page of the newest records is no snapshot, and versions never go back.
-            intent.config.clone_from(&self.intent.borrow().config);
-        }
-        if end >= self.intent.borrow().offset && intent.config.is_some() {
-            intent.offset = end;
-            self.publish(intent);
-        } else {
-            tokio::time::sleep(AFTER_FAILURE).await;
+        // A page that lags behind what is known says nothing of what was written up to its end: going on
+        // from there would leave a version out for good.
+        if known > read || intent.config.is_none() || end < self.intent.borrow().offset {
+            return IntentRead::Failed;
         }
+        intent.offset = end;
+        self.publish(intent);
+        IntentRead::News { begun }
     }
 
     fn change(&self, intent: &mut OperatorsIntent, records: Vec<KeyedRecord>) {
--- a/crates/rack/src/control/running.rs
+++ b/crates/rack/src/control/running.rs
@@ -16,7 +16,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
 
+use super::intent_reader::IntentReader;
 use super::key_calls::KeyCalls;
 use super::peer_intent::PeerIntent;
 use super::server_port::ServerQuestion;
@@ -43,6 +45,9 @@
     pub(super) socket: Rc<UdpSocket>,
     pub(super) store: StoreCalls,
     pub(super) peers: PeerIntent,
+    pub(super) reader: IntentReader,
+    /// The read of the operators' topic that is on its way.
+    pub(super) reading: Option<AbortHandle>,
     pub(super) calls: KeyCalls,
     pub(super) intent_offset: Option<u64>,
     pub(super) view: NodeView,
@@ -146,6 +151,13 @@
                     tokio::task::spawn_local(self.calls.clone().run(call));
                 }
                 Action::Publish => changed = true,
+                Action::ReadIntent { wait } => {
+                    let read = tokio::task::spawn_local(self.reader.clone().read(wait));
+                    // Its connection is closed with it.
+                    self.reading
+                        .replace(read.abort_handle())
+                        .inspect(AbortHandle::abort);
+                }
                 Action::FetchIntent(from) => {
                     tokio::task::spawn_local(self.peers.clone().fetch(from));
                 }
@@ -176,6 +188,7 @@
             self.view.routes = routes.map(Arc::new);
             self.view.intent = Arc::new(intent.clone());
         }
+        self.view.confirmed = self.machine.intent_confirmed();
         self.view.directory = Arc::new(self.machine.directory().clone());
         self.view.server = self.machine.server().map(|server| ServerView {
             life: server.life.clone(),
--- a/crates/rack/src/shared/node_view.rs
+++ b/crates/rack/src/shared/node_view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::OperatorsIntent;
 use quetzalrack_mesh::ownership::Directory;
 use quetzalrack_mesh::routing::RouteTable;
@@ -15,6 +16,8 @@
     pub directory: Arc<Directory>,
     /// The operators' intent.
     pub intent: Arc<OperatorsIntent>,
+    /// Up to when that holds all that was acknowledged, as far as known.
+    pub confirmed: Moment,
     /// Its routes; none until a configuration is known.
     pub routes: Option<Arc<RouteTable>>,
     /// The backend server beside the node, if there is one to use.
--- a/crates/rack/src/traffic/ingress/judging.rs
+++ b/crates/rack/src/traffic/ingress/judging.rs
@@ -120,6 +120,7 @@
             route = job.route.as_str(), service = job.service.as_str(), sent = sent,
             key = job.key.map_or(-1, i64::from), left_ms = intake.due.since(clock::now()).as_millis() as u64,
             config = view.intent.config.as_ref().map_or(0, |config| config.version),
+            confirmed_ms = clock::now().since(view.confirmed).as_millis() as u64,
             epoch = view.directory.epoch.0, owners = view.directory.version; ""
         );
     }
