--- a/crates/rack/tests/system/store_faults.rs
+++ b/crates/rack/tests/system/store_faults.rs
@@ -164,3 +164,22 @@
     world.settled(START).await;
     silence(&world, Duration::from_millis(8_500)).await;
 }
+
+/// Guards against a configuration that is never in force at a node that starts, since it was written while
+/// the node read the pages of what is newest.
+#[tokio::test(flavor = "multi_thread")]
+async fn written_between_pages() {
+    let mut world = World::start(&["plain", "keyed"]).await;
+    world.settled(START).await;
+    for zone in ["zone-7", "zone-8", "zone-9"] {
+        world.store.write(&format!("evacuate/{zone}"), "{}");
+    }
+    world.kill_node(0);
+    world.kill_node(1);
+    world.write_config_between_pages(2);
+    world.start_node(0);
+    world.start_node(1);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world.settled(START).await;
+    wait_for_config(&world).await;
+}
--- a/crates/rack/tests/system/support/stand_in_store.rs
+++ b/crates/rack/tests/system/support/stand_in_store.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform's metadata store.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,8 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 
+/// How many of the newest records one page holds.
+const PAGE: usize = 2;
 /// How long a lost answer stays away: longer than any caller waits.
 const LOST: Duration = Duration::from_secs(10);
 
@@ -61,6 +64,8 @@
     /// How many of the oldest records of each topic have expired; the newest of each key stay.
     expired: HashMap<String, usize>,
     faults: StoreFaults,
+    /// What operators write once the first page of the newest records has been read.
+    between_pages: Option<(String, String)>,
     /// Counts appends, so that every so-many-th can be mistreated.
     appends: u32,
 }
@@ -120,6 +125,13 @@
         records.push((key.to_owned(), value.as_bytes().to_vec()));
     }
 
+    /// Writes a record as an operator does, as soon as somebody has read the first of several pages of the
+    /// newest records.
+    pub fn write_between_pages(&self, key: &str, value: &str) {
+        let record = (key.to_owned(), value.to_owned());
+        self.state.lock().unwrap().between_pages = Some(record);
+    }
+
     /// Refuses every call from now on, or none.
     pub fn set_away(&self, away: bool) {
         self.set_faults(StoreFaults {
@@ -133,6 +145,10 @@
         self.state.lock().unwrap().faults = faults;
     }
 
+    fn take_between_pages(&self) -> Option<(String, String)> {
+        self.state.lock().unwrap().between_pages.take()
+    }
+
     async fn delay(&self) {
         let slow = self.state.lock().unwrap().faults.slow;
         tokio::time::sleep(slow).await;
@@ -200,15 +216,24 @@
     let Some(records) = store.records(&fields) else {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     };
-    let mut newest: HashMap<&str, &[u8]> = HashMap::new();
+    let mut newest: BTreeMap<&str, &[u8]> = BTreeMap::new();
     for (key, value) in &records {
         newest.insert(key, value);
     }
-    let items = newest.iter().filter(|(_, value)| !value.is_empty());
-    let items: Vec<_> = items
+    let after = fields.get("after").map(String::as_str);
+    let left = newest.iter().filter(|(key, value)| {
+        let earlier = after.is_some_and(|after| **key <= after);
+        !value.is_empty() && !earlier
+    });
+    let mut items: Vec<_> = left
         .map(|(key, value)| json!({"key": key, "value": STANDARD.encode(value), "offset": 0}))
         .collect();
-    Json(json!({"items": items, "more": false, "end": records.len()})).into_response()
+    let more = items.len() > PAGE;
+    items.truncate(PAGE);
+    if more && let Some((key, value)) = store.take_between_pages() {
+        store.write(&key, &value);
+    }
+    Json(json!({"items": items, "more": more, "end": records.len()})).into_response()
 }
 
 async fn read(State(store): State<StandInStore>, fields: Fields) -> Response {
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -174,6 +174,12 @@
         self.store.write("config", &config(version, 1_000));
     }
 
+    /// Writes a new configuration as soon as a node has read the first of several pages of what is newest.
+    pub fn write_config_between_pages(&self, version: u64) {
+        self.store
+            .write_between_pages("config", &config(version, 1_000));
+    }
+
     /// Writes a new configuration whose routes wait for twenty seconds.
     pub fn write_patient_config(&self, version: u64) {
         self.store.write("config", &config(version, 20_000));
