mesh, rack: two more ways to flood a cold server are closed

A request was counted when it was begun and written when its connection was open, up to 300 ms later. The first burst to a server that has just started meets no open connections, and the next one finds them all: what was begun in one second is written in the next. The gate now counts what is written too, and holds back what has its connection.

A next life under the same id is taken for the one before, which was warm, until its first heartbeat is heard. The stand-in server now closes its port and connections when it dies.

--- a/crates/mesh/src/traffic/admission/cold_gate.rs
+++ b/crates/mesh/src/traffic/admission/cold_gate.rs
@@ -16,11 +16,18 @@
 
 /// Holds requests back while the server is cold: above its rate it crashes, and every request in it
 /// is lost.
+///
+/// A request is counted twice: when it is begun, so that the rest waits where it can be refused, and when
+/// it is written. Opening a connection takes a while, most of all to a server that has just started, and
+/// what was begun in one second may be written in the next.
 #[derive(Clone, Debug, Default)]
 pub struct ColdGate {
     rate: ColdRate,
     until: Moment,
-    sent: VecDeque<Moment>,
+    /// Whether another life of the server may listen, which is cold.
+    doubted: bool,
+    begun: VecDeque<Moment>,
+    written: VecDeque<Moment>,
     /// Until when an earlier process may have sent all that a second allows.
     inherited_until: Moment,
 }
@@ -43,46 +50,63 @@
         self.until = until;
     }
 
-    /// Returns when the next request may go; none if it may go now.
+    /// Learns whether another life of the server may listen in place of the one that was heard last.
+    pub fn set_doubted(&mut self, doubted: bool) {
+        self.doubted = doubted;
+    }
+
+    /// Returns when the next request may be begun; none if it may be now.
     pub fn wait(&mut self, now: Moment) -> Option<Duration> {
-        self.forget(now);
+        forget(&mut self.begun, now);
         if !self.is_cold(now) {
             return None;
         }
         let most = match self.rate {
             ColdRate::Unknown => return Some(UNKNOWN),
             ColdRate::Unlimited => return None,
-            ColdRate::PerSecond(rate) => rate.max(1.0),
+            ColdRate::PerSecond { begun, .. } => begun,
         };
         if now < self.inherited_until {
             return Some(self.inherited_until.since(now));
         }
-        if (self.sent.len() as f64) + 1.0 <= most {
-            return None;
-        }
-        let oldest = self.sent.front()?;
-        Some((SPAN + BUNCHING).saturating_sub(now.since(*oldest)))
+        room(&self.begun, now, most)
     }
 
-    /// Counts a request that is sent.
+    /// Counts a request that is begun.
     pub fn count(&mut self, now: Moment) {
-        self.sent.push_back(now);
+        self.begun.push_back(now);
     }
 
-    /// Tells whether the server is cold.
+    /// Counts a request that is written now; if it may not be, returns when to ask again.
+    pub fn write(&mut self, now: Moment) -> Option<Duration> {
+        forget(&mut self.written, now);
+        let wait = match self.rate {
+            _ if !self.is_cold(now) => None,
+            ColdRate::Unknown => Some(UNKNOWN),
+            ColdRate::Unlimited => None,
+            ColdRate::PerSecond { most, .. } => room(&self.written, now, most),
+        };
+        if wait.is_none() {
+            self.written.push_back(now);
+        }
+        wait
+    }
+
+    /// Tells whether the server is cold, or may be.
     pub fn is_cold(&self, now: Moment) -> bool {
-        self.rate != ColdRate::Unlimited && now < self.until
+        self.rate != ColdRate::Unlimited && (self.doubted || now < self.until)
     }
 
     /// Tells whether the server is cold and nobody has said what it bears: nothing may go.
     pub fn is_shut(&self, now: Moment) -> bool {
-        self.rate == ColdRate::Unknown && now < self.until
+        self.rate == ColdRate::Unknown && self.is_cold(now)
     }
 
-    /// Returns how many requests went within the last second.
-    pub fn recent(&mut self, now: Moment) -> usize {
-        self.forget(now);
-        self.sent.len()
+    /// Returns how many requests were begun and written within the last second.
+    pub fn recent(&mut self, now: Moment) -> (usize, usize) {
+        forget(&mut self.begun, now);
+        forget(&mut self.written, now);
+        (self.begun.len(), self.written.len())
     }
 
     /// Returns what a cold server bears, as far as known.
@@ -94,11 +118,20 @@
     pub fn until(&self) -> Moment {
         self.until
     }
+}
 
-    fn forget(&mut self, now: Moment) {
-        let old = |at: &Moment| now.since(*at) >= SPAN + BUNCHING;
-        while self.sent.front().is_some_and(old) {
-            self.sent.pop_front();
-        }
+fn forget(counted: &mut VecDeque<Moment>, now: Moment) {
+    let old = |at: &Moment| now.since(*at) >= SPAN + BUNCHING;
+    while counted.front().is_some_and(old) {
+        counted.pop_front();
+    }
+}
+
+/// Returns when one more fits into a second of at most so many; none if it does now.
+fn room(counted: &VecDeque<Moment>, now: Moment, most: f64) -> Option<Duration> {
+    if (counted.len() as f64) + 1.0 <= most.max(1.0) {
+        return None;
     }
+    let oldest = counted.front()?;
+    Some((SPAN + BUNCHING).saturating_sub(now.since(*oldest)))
 }
--- a/crates/mesh/src/traffic/admission/cold_rate.rs
+++ b/crates/mesh/src/traffic/admission/cold_rate.rs
@@ -10,5 +10,10 @@
     /// The service has no cold start.
     Unlimited,
     /// So many requests a second.
-    PerSecond(f64),
+    PerSecond {
+        /// As many are begun.
+        begun: f64,
+        /// As many may reach the server.
+        most: f64,
+    },
 }
--- a/crates/mesh/tests/admission.rs
+++ b/crates/mesh/tests/admission.rs
@@ -47,6 +47,14 @@
     admission
 }
 
+/// Lets as many be written as begun.
+fn cold_rate(rate: f64) -> ColdRate {
+    ColdRate::PerSecond {
+        begun: rate,
+        most: rate,
+    }
+}
+
 fn started(actions: &[AdmissionAction]) -> Vec<u64> {
     let started = actions.iter().filter_map(|action| match action {
         AdmissionAction::Start(ticket) => Some(ticket.0),
@@ -129,7 +137,7 @@
 #[test]
 fn cold_server() {
     let mut admission = admission(18);
-    admission.cold().set_rate(ColdRate::PerSecond(25.0));
+    admission.cold().set_rate(cold_rate(25.0));
     admission.cold().set_cold(at(60_000));
     let mut sent: Vec<u64> = Vec::new();
     let mut ticket = 0;
@@ -178,7 +186,7 @@
     let cold = |started: u64| {
         let mut admission = admission(10);
         admission.cold().start(at(started));
-        admission.cold().set_rate(ColdRate::PerSecond(35.0));
+        admission.cold().set_rate(cold_rate(35.0));
         admission.cold().set_cold(at(60_000));
         admission
     };
@@ -196,6 +204,54 @@
     }
 }
 
+/// Guards against a flood of a cold server when opening connections to it takes up to 300 ms: what was
+/// begun in one second is written in the next.
+#[test]
+fn slow_dials() {
+    let mut admission = admission(18);
+    admission.cold().set_rate(ColdRate::PerSecond {
+        begun: 35.0,
+        most: 42.5,
+    });
+    admission.cold().set_cold(at(60_000));
+    let mut random = ChaCha8Rng::seed_from_u64(22);
+    let (mut opening, mut written) = (Vec::<(u64, u64)>::new(), Vec::<u64>::new());
+    for ms in 0..10_000 {
+        let mut actions = admission.pump(at(ms));
+        if ms % 5 == 0 {
+            actions.extend(admission.arrive(at(ms), job(ms, ms, 1)));
+        }
+        // The first of each burst meet no open connections.
+        let slow = ms % 2_000 < 500;
+        for ticket in started(&actions) {
+            let dial = if slow { random.random_range(0..300) } else { 0 };
+            opening.push((ms + dial, ticket));
+        }
+        let (open, rest): (Vec<_>, Vec<_>) = opening.into_iter().partition(|(at, _)| *at <= ms);
+        opening = rest;
+        for (_, ticket) in open {
+            match admission.cold().write(at(ms)) {
+                Some(wait) => opening.push((ms + 1 + wait.as_millis() as u64, ticket)),
+                None => {
+                    written.push(ms);
+                    let of = route();
+                    let answer = answered(&of, Duration::from_millis(1));
+                    let more = admission.end(at(ms), Ticket(ticket), Some(answer));
+                    opening.extend(started(&more).iter().map(|ticket| (ms + 1, *ticket)));
+                }
+            }
+        }
+    }
+    for from in &written {
+        let second = written
+            .iter()
+            .filter(|ms| (*from..from + 1_000).contains(ms));
+        let count = second.count();
+        assert!(count <= 42, "{count} in the second from {from} ms");
+    }
+    assert!(written.len() > 250, "{}", written.len());
+}
+
 /// Guards against a flood of a cold server while nobody has said what it bears.
 #[test]
 fn cold_without_rate() {
@@ -205,7 +261,7 @@
         assert!(started(&admission.arrive(at(ticket), job(ticket, ticket, 1))).is_empty());
     }
     assert!(admission.cold().is_shut(at(60)));
-    admission.cold().set_rate(ColdRate::PerSecond(20.0));
+    admission.cold().set_rate(cold_rate(20.0));
     assert_eq!(started(&admission.pump(at(60))).len(), 18);
 }
 
--- a/crates/rack/src/control/running.rs
+++ b/crates/rack/src/control/running.rs
@@ -195,6 +195,7 @@
             address: server.address,
             slots: server.slots as usize,
             draining: server.draining,
+            heard_at: self.machine.server_heard_at().unwrap_or_default(),
             cold_until: self.machine.cold_until(),
             serving: self.machine.serving(now),
         });
--- a/crates/rack/src/shared/server_view.rs
+++ b/crates/rack/src/shared/server_view.rs
@@ -17,6 +17,8 @@
     pub slots: usize,
     /// Whether it has announced that it will leave.
     pub draining: bool,
+    /// When its newest heartbeat was heard.
+    pub heard_at: Moment,
     /// Until when it is cold.
     pub cold_until: Moment,
     /// The keys that it holds, each with the end of its grant.
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -162,12 +162,16 @@
         };
         // While it waited, the server may have announced that it leaves, or lost the key.
         let view = self.board.view();
+        self.refresh(&view);
         let server = match self.usable(&view, job) {
             Ok(server) => server,
             Err(reason) => return Outcome::NotRun(reason, ELSEWHERE),
         };
         let sent = clock::now();
-        let (outcome, told) = self.link.send(server.address, &server.life.id, job).await;
+        let (outcome, told) = self
+            .link
+            .send(server.address, &server.life.id, job, self.turns.as_ref())
+            .await;
         if let Some(slowness) = told.slowness {
             self.slowness
                 .set(u16::try_from(slowness).unwrap_or(u16::MAX));
@@ -184,6 +188,9 @@
         if job.service != self.service {
             return Err(NotRun::NoServer);
         }
+        if self.link.is_closed(server.heard_at) {
+            return Err(NotRun::Unreachable);
+        }
         let shut = |admission: &mut Admission| admission.cold().is_shut(clock::now());
         if self.turns.ask(shut) {
             return Err(NotRun::NoDocument);
@@ -217,10 +224,12 @@
         let returned = self.evacuated.replace(evacuated) && !evacuated;
         let reborn = self.life.replace(Some(server.life.clone())) != Some(server.life.clone());
         let rate = self.cold_rate(view);
+        let doubted = self.link.is_doubted(server.heard_at);
         self.turns.update(|admission| {
             admission.set_slots(server.slots);
             let cold = admission.cold();
             cold.set_rate(rate);
+            cold.set_doubted(doubted);
             if reborn {
                 cold.set_cold(server.cold_until);
             } else if returned {
@@ -241,21 +250,25 @@
         };
         // The bound holds for any second, so the rate itself may be exceeded a little.
         let excess = rate * (self.bounds.cold_factor - 1.0) + self.bounds.cold_slack;
-        ColdRate::PerSecond(rate + excess * COLD_PART)
+        ColdRate::PerSecond {
+            begun: rate + excess * COLD_PART,
+            most: rate + excess,
+        }
     }
 
     /// Writes a line for each second in which a cold server got requests.
     fn note_cold(&self, now: Moment, view: &NodeView) {
         let cold = self.turns.ask(|admission| {
             let cold = admission.cold();
-            let sent = cold.recent(now);
-            (cold.is_cold(now) && sent > 0).then(|| (sent, cold.rate(), cold.until()))
+            let (begun, written) = cold.recent(now);
+            (cold.is_cold(now) && written > 0).then(|| (begun, written, cold.rate(), cold.until()))
         });
         let due = now.since(self.cold_line.get()) >= COLD_LINE;
-        if let (Some((sent, rate, until)), Some(server), true) = (cold, &view.server, due) {
+        if let (Some((begun, written, rate, until)), Some(server), true) = (cold, &view.server, due)
+        {
             self.cold_line.set(now);
             log::info!(
-                event = "cold_server", server:% = server.life, sent = sent, rate:? = rate,
+                event = "cold_server", server:% = server.life, begun = begun, written = written, rate:? = rate,
                 cold_ms = until.since(now).as_millis() as u64, intent = view.intent.offset; ""
             );
         }
--- a/crates/rack/src/traffic/egress/server_link.rs
+++ b/crates/rack/src/traffic/egress/server_link.rs
@@ -27,6 +27,7 @@
 use crate::traffic::wire::ExchangeError;
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
+use crate::traffic::wire::WriteGate;
 
 /// Connections to the backend server. A server closes idle ones after ten seconds or so; one that
 /// was idle for a third of that is still there, and as many are kept as it has slots.
@@ -50,6 +51,10 @@
     pool: Rc<Pool>,
     distrusted_until: Cell<Moment>,
     refused_at: Cell<Option<Moment>>,
+    /// When a connection broke last.
+    broke_at: Cell<Option<Moment>>,
+    /// When no connection was left after one had broken.
+    bare_at: Cell<Option<Moment>>,
 }
 
 /// Is what a server's answer told beside the outcome.
@@ -59,6 +64,31 @@
     pub(super) slowness: Option<u32>,
 }
 
+/// Notes whether a request has passed a gate: until then nothing of it was written.
+struct Passage<'a> {
+    gate: &'a dyn WriteGate,
+    passed: Cell<bool>,
+}
+
+impl<'a> Passage<'a> {
+    fn new(gate: &'a dyn WriteGate) -> Self {
+        let passed = Cell::default();
+        Self { gate, passed }
+    }
+
+    fn is_passed(&self) -> bool {
+        self.passed.get()
+    }
+}
+
+impl WriteGate for Passage<'_> {
+    fn pass(&self) -> Option<Duration> {
+        let wait = self.gate.pass();
+        self.passed.set(self.passed.get() || wait.is_none());
+        wait
+    }
+}
+
 impl ServerLink {
     pub(super) fn new() -> Self {
         Self {
@@ -66,6 +96,8 @@
             pool: Pool::new(LIMITS, None),
             distrusted_until: Cell::default(),
             refused_at: Cell::default(),
+            broke_at: Cell::default(),
+            bare_at: Cell::default(),
         }
     }
 
@@ -74,6 +106,22 @@
         self.refused_at.get()
     }
 
+    /// Tells whether the server's port has been closed since its last heartbeat. Should it take connections
+    /// again, it is another life that listens, and its heartbeat tells what that one bears.
+    pub(super) fn is_closed(&self, heard: Moment) -> bool {
+        self.refused_at.get().is_some_and(|at| at >= heard)
+    }
+
+    /// Tells whether all connections have broken since the server's last heartbeat, so that another life may
+    /// listen.
+    pub(super) fn is_doubted(&self, heard: Moment) -> bool {
+        let broke = self.broke_at.get().is_some_and(|at| at >= heard);
+        if broke && !self.pool.is_connected() {
+            self.bare_at.set(Some(clock::now()));
+        }
+        self.bare_at.get().is_some_and(|at| at >= heard)
+    }
+
     /// Returns how many connections were opened.
     pub(super) fn opened(&self) -> u64 {
         self.pool.opened()
@@ -85,6 +133,7 @@
         address: SocketAddr,
         server: &ServerId,
         job: &Job,
+        gate: &dyn WriteGate,
     ) -> (Outcome, Told) {
         let now = clock::now();
         let patience = job.deadline.since(now);
@@ -99,15 +148,16 @@
             let said = AnswerHeaders::read(answer.status(), answer.headers());
             said.id == job.id && !said.closes
         };
-        let exchange = self.pool.exchange(address, request, idle, is_ours);
+        let gate = Passage::new(gate);
+        let exchange = self.pool.exchange(address, request, idle, &gate, is_ours);
         match tokio::time::timeout(patience, exchange).await {
             Ok(Ok(answer)) => {
                 self.refused_at.set(None);
                 self.judge(address, job, answer)
             }
             Ok(Err(ExchangeError::Dial(error))) => {
-                if matches!(error, DialError::Refused) && self.refused_at.get().is_none() {
-                    self.refused_at.set(Some(now));
+                if matches!(error, DialError::Refused) {
+                    self.refused_at.set(Some(clock::now()));
                 }
                 self.pool.forget(address);
                 (
@@ -116,11 +166,16 @@
                 )
             }
             Ok(Err(ExchangeError::Broken(error))) => {
+                self.broke_at.set(Some(clock::now()));
                 if error.is_parse() {
                     self.distrust();
                 }
                 (Outcome::Lost(Lost::Broken), Told::default())
             }
+            Err(_) if !gate.is_passed() => (
+                Outcome::NotRun(NotRun::Expired, AFTER_REFUSAL),
+                Told::default(),
+            ),
             Err(_) => (Outcome::Lost(Lost::TimedOut), Told::default()),
         }
     }
--- a/crates/rack/src/traffic/egress/turn.rs
+++ b/crates/rack/src/traffic/egress/turn.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::clock;
+use crate::traffic::wire::WriteGate;
 
 /// How often waiting requests are looked at while nothing else happens: some become hopeless.
 const LOOK: Duration = Duration::from_millis(25);
@@ -49,6 +50,12 @@
     armed: bool,
 }
 
+impl WriteGate for Turns {
+    fn pass(&self) -> Option<Duration> {
+        self.admission.borrow_mut().cold().write(clock::now())
+    }
+}
+
 impl Turns {
     /// Changes what admission knows of the server.
     pub(super) fn update<C>(&self, change: C)
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -21,6 +21,7 @@
 use crate::traffic::outcome::Report;
 use crate::traffic::wire::ExchangeError;
 use crate::traffic::wire::LinkPacer;
+use crate::traffic::wire::OpenGate;
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
 use crate::traffic::wire::dial;
@@ -69,7 +70,9 @@
         let mut request = Request::new(Full::new(body.into()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(INTENT_PATH);
-        let exchange = self.pool.exchange(address, request, LIMITS.idle, |_| true);
+        let exchange = self
+            .pool
+            .exchange(address, request, LIMITS.idle, &OpenGate, |_| true);
         // Lost, it is said again with the next request that is refused there.
         tokio::time::timeout(REACHED, exchange).await.ok();
     }
@@ -85,11 +88,13 @@
             return unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO));
         };
         let patience = job.deadline.since(now) + WAY_BACK;
-        let exchange = self
-            .pool
-            .exchange(address, request, LIMITS.idle, |answer: &Response<_>| {
-                !answer.headers().contains_key(http::header::CONNECTION)
-            });
+        let exchange = self.pool.exchange(
+            address,
+            request,
+            LIMITS.idle,
+            &OpenGate,
+            |answer: &Response<_>| !answer.headers().contains_key(http::header::CONNECTION),
+        );
         match tokio::time::timeout(patience, exchange).await {
             Ok(Ok(answer)) => {
                 hop_answer::read(answer).unwrap_or_else(|| unloaded(Outcome::Lost(Lost::Foreign)))
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -8,6 +8,7 @@
 mod pool;
 mod request_scanner;
 mod watched_stream;
+mod write_gate;
 
 pub(crate) use dial::DialError;
 pub(super) use dial::dial;
@@ -21,3 +22,5 @@
 pub(super) use request_scanner::RequestScanner;
 pub(super) use request_scanner::ScannedHead;
 pub(super) use watched_stream::WatchedStream;
+pub(super) use write_gate::OpenGate;
+pub(super) use write_gate::WriteGate;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -18,7 +18,9 @@
 use tokio::task::AbortHandle;
 
 use super::LinkPacer;
+use super::OpenCount;
 use super::PacedStream;
+use super::WriteGate;
 use super::dial::DialError;
 use super::dial::dial;
 use crate::clock;
@@ -53,6 +55,7 @@
     pacer: Option<Rc<LinkPacer>>,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     opened: RefCell<u64>,
+    open: OpenCount,
 }
 
 #[derive(Debug)]
@@ -104,6 +107,7 @@
             pacer,
             idle: RefCell::default(),
             opened: RefCell::default(),
+            open: OpenCount::default(),
         })
     }
 
@@ -114,6 +118,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         idle: Duration,
+        gate: &dyn WriteGate,
         is_kept: K,
     ) -> Result<Response<Bytes>, ExchangeError>
     where
@@ -122,6 +127,9 @@
         let mut request = request;
         loop {
             let mut connection = self.connect(address, idle).await?;
+            while let Some(wait) = gate.pass() {
+                tokio::time::sleep(wait).await;
+            }
             match connection.send(request).await? {
                 Sent::Answered(answer) => {
                     if is_kept(&answer) {
@@ -158,6 +166,11 @@
         }
     }
 
+    /// Tells whether a connection is open, idle or not.
+    pub(crate) fn is_connected(&self) -> bool {
+        self.open.get() > 0
+    }
+
     /// Closes all idle connections to an address.
     pub(crate) fn forget(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -213,8 +226,12 @@
         *self.opened.borrow_mut() += 1;
         let stream = PacedStream::new(stream, self.pacer.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let open = self.open.enter();
         // Its end shows at the sender.
-        let task = tokio::task::spawn_local(async move { connection.await.ok() });
+        let task = tokio::task::spawn_local(async move {
+            connection.await.ok();
+            drop(open);
+        });
         Ok(Connection {
             sender,
             task: task.abort_handle(),
--- a/crates/rack/tests/system/cold_servers.rs
+++ b/crates/rack/tests/system/cold_servers.rs
@@ -48,3 +48,23 @@
         "the server got none although others know what it bears"
     );
 }
+
+/// Guards against a flood of a server's next life, under the same id, before its first heartbeat is heard:
+/// its node takes it for the one before, which was warm.
+#[tokio::test(flavor = "multi_thread")]
+async fn next_life() {
+    let world = World::start(&SERVICES).await;
+    world.settled(START).await;
+    let server = &world.hosts[PLAIN].server;
+    let (_, ()) = tokio::join!(flood(&world, "on", Duration::from_secs(5)), async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        server.die();
+        // Not long enough for its node to take it for gone.
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        server.reborn("server-3");
+        server.set_cold(Duration::from_secs(20));
+    });
+    let most = server.busiest_second();
+    assert!(most <= BEARABLE, "{most} requests in a second");
+    assert!(most > 0, "the next life got no requests");
+}
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -18,9 +18,15 @@
 use axum::response::IntoResponse;
 use axum::response::Response;
 use axum::routing::any;
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::task::JoinSet;
 
 use super::called_keys::Call;
 use super::called_keys::CallFault;
@@ -32,6 +38,8 @@
 pub const HEARTBEAT: Duration = Duration::from_millis(300);
 /// How soon the next one follows while something is to be released.
 const RELEASING: Duration = Duration::from_millis(50);
+/// How often a new life tries to open the port of the one before.
+const REBIND: Duration = Duration::from_millis(2);
 /// The span over which arrivals at a cold server are counted.
 const SECOND: Duration = Duration::from_secs(1);
 /// How long a heartbeat waits for its answer.
@@ -57,6 +65,7 @@
     plan: ServerPlan,
     pub(super) truth: Arc<Truth>,
     state: Arc<Mutex<Seen>>,
+    port: Arc<Mutex<Option<AbortHandle>>>,
 }
 
 #[derive(Default)]
@@ -111,21 +120,53 @@
     pub async fn spawn(plan: ServerPlan, truth: Arc<Truth>) -> Self {
         let server = Self {
             state: Arc::default(),
+            port: Arc::default(),
             truth,
             plan,
         };
         server.rename(&server.plan.id);
-        let router = Router::new()
-            .fallback(any(answer))
-            .with_state(server.clone());
-        let listener = TcpListener::bind(server.plan.listens).await.unwrap();
-        tokio::spawn(async move { axum::serve(listener, router).await });
+        server.open_port();
+        while TcpStream::connect(server.plan.listens).await.is_err() {
+            tokio::time::sleep(REBIND).await;
+        }
         tokio::spawn(server.clone().beat());
         server
     }
 
-    /// Ends this life: it holds nothing, and sends no heartbeats until it is born again.
+    /// Listens, and closes all connections of the life before.
+    fn open_port(&self) {
+        let server = self.clone();
+        let serving = tokio::spawn(async move { server.serve().await });
+        self.replace_port(Some(serving.abort_handle()));
+    }
+
+    fn replace_port(&self, port: Option<AbortHandle>) {
+        let earlier = std::mem::replace(&mut *self.port.lock().unwrap(), port);
+        earlier.inspect(AbortHandle::abort);
+    }
+
+    async fn serve(self) {
+        let listener = loop {
+            // The port of the life before is free a moment after that one has ended.
+            match TcpListener::bind(self.plan.listens).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(REBIND).await,
+            }
+        };
+        let router = Router::new().fallback(any(answer)).with_state(self);
+        // Dropped with this life, it ends every connection.
+        let mut connections = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = TowerToHyperService::new(router.clone());
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            connections.spawn(connection);
+        }
+    }
+
+    /// Ends this life: it holds nothing, its port is closed, and it sends no heartbeats until it is born
+    /// again.
     pub fn die(&self) {
+        self.replace_port(None);
         let life = self.life();
         self.lock().dead = true;
         self.truth.drop_all(&life);
@@ -136,6 +177,7 @@
         let life = self.life();
         self.truth.drop_all(&life);
         self.rename(id);
+        self.open_port();
     }
 
     fn rename(&self, id: &str) {
