mesh, rack: a grant by call goes only to the life that it is meant for

A renewal reached the next life of a server before its first heartbeat was heard, with a token of the earlier life (OWNER).

Cause: a call names no life, and a new connection leads to whoever listens.

Change: a call says when that life was last heard, and a grant takes only a connection that was open before. Two are kept and opened ahead. What it costs: a server that starts is granted keys from its second heartbeat on, not from its first.

--- a/crates/mesh/src/ownership/holder/called_grants/mod.rs
+++ b/crates/mesh/src/ownership/holder/called_grants/mod.rs
@@ -63,6 +63,7 @@
         now: Moment,
         life: &ServerLife,
         address: SocketAddr,
+        heard: Moment,
         lease: Option<&Lease>,
         times: &LeaseTimes,
     ) -> Vec<KeyCall> {
@@ -77,6 +78,7 @@
         let number = |(id, request)| KeyCall {
             id,
             address,
+            heard,
             request,
         };
         calls.into_iter().map(number).collect()
--- a/crates/mesh/src/ownership/holder/key_call.rs
+++ b/crates/mesh/src/ownership/holder/key_call.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use quetzalrack_core::time::Moment;
+
 use super::KeyRequest;
 
 /// Numbers the calls of one process.
@@ -15,6 +17,9 @@
     pub id: KeyCallId,
     /// Where the server listens.
     pub address: SocketAddr,
+    /// When the newest heartbeat of its life was heard. A connection that was open before leads to that
+    /// life; a newer one may lead to the next, which may not get a token that this one had.
+    pub heard: Moment,
     /// What it is asked for.
     pub request: KeyRequest,
 }
--- a/crates/mesh/src/ownership/holder/server_calls.rs
+++ b/crates/mesh/src/ownership/holder/server_calls.rs
@@ -28,7 +28,7 @@
         let lease = lease
             .filter(|lease| granting == Granting::ByCall && lease.assignment.server == newest.life);
         self.called
-            .plan(now, &newest.life, newest.address, lease, times)
+            .plan(now, &newest.life, newest.address, current.at, lease, times)
     }
 
     /// Takes the outcome of a call.
--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -43,7 +43,7 @@
 pub(super) struct Current {
     pub(super) newest: ServerHeartbeat,
     heard: u32,
-    at: Moment,
+    pub(super) at: Moment,
     cold_until: Moment,
     offers: Vec<Offer>,
     /// What it listed before we ever granted anything, and until when a grant of our own earlier
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -20,6 +20,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::model::Granting;
 use crate::model::HeldRange;
 use crate::model::OperatorsIntent;
 use crate::model::ServerHeartbeat;
@@ -188,6 +189,11 @@
         self.server.serving(now, self.lease.as_ref())
     }
 
+    /// Tells whether the backend server is granted its keys by call.
+    pub fn calls_server(&self) -> bool {
+        self.granting() == Granting::ByCall
+    }
+
     /// Returns when the backend server was heard last.
     pub fn server_heard_at(&self) -> Option<Moment> {
         self.server.heard_at()
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -129,6 +129,7 @@
             gone_told: false,
             heartbeat: host.heartbeat,
         };
+        running.warm(host.server);
         running.run(asked, happened, self.shutdown).await;
         Ok(())
     }
--- a/crates/rack/src/control/key_calls.rs
+++ b/crates/rack/src/control/key_calls.rs
@@ -37,7 +37,7 @@
 /// long as work goes on, and others pass it.
 const LIMITS: PoolLimits = PoolLimits {
     dial: Duration::from_millis(300),
-    idle: Duration::from_secs(3),
+    idle: Duration::from_secs(6),
     kept: 2,
 };
 /// How long the answer to a release is waited for; it comes when the work on the keys has ended. An
@@ -73,12 +73,13 @@
         let KeyCall {
             id,
             address,
+            heard,
             request,
         } = call;
         let (name, held, outcome) = match request {
             KeyRequest::Grant { range, end } => {
                 let held = range.held;
-                ("grant", held, self.grant(address, range, end).await)
+                ("grant", held, self.grant(address, heard, range, end).await)
             }
             KeyRequest::Release(held) => ("release", held, self.release(address, held).await),
         };
@@ -99,7 +100,21 @@
         self.events.send(event).ok();
     }
 
-    async fn grant(&self, address: SocketAddr, range: GrantedRange, end: Moment) -> KeyCallOutcome {
+    /// Opens connections ahead: a grant may only go on one that was open before a heartbeat.
+    pub(super) async fn warm(self, address: SocketAddr) {
+        let opened = self.pool.warm(address).await;
+        if let Err(error) = opened {
+            log::info!(event = "no_connection_for_calls", to:% = address; "{error}");
+        }
+    }
+
+    async fn grant(
+        &self,
+        address: SocketAddr,
+        heard: Moment,
+        range: GrantedRange,
+        end: Moment,
+    ) -> KeyCallOutcome {
         let sent = Cell::new(None);
         // The hold is counted when a connection is open, with a clock that counts suspended time: what
         // was decided before a wait must not make it longer.
@@ -109,7 +124,7 @@
             sent.set(Some((now, time)));
             Some(addressed(grant_request(&range, time), address))
         };
-        let exchange = self.pool.exchange_late(address, make);
+        let exchange = self.pool.exchange_late(address, Some(heard), make);
         // Dropped at its limit, the call's connection is closed.
         let ended = tokio::time::timeout(self.times.call, exchange).await;
         let Some((sent, time)) = sent.get() else {
@@ -131,7 +146,7 @@
 
     async fn release(&self, address: SocketAddr, held: HeldRange) -> KeyCallOutcome {
         let make = || Some(addressed(release_request(held), address));
-        let exchange = self.pool.exchange_late(address, make);
+        let exchange = self.pool.exchange_late(address, None, make);
         let ended = tokio::time::timeout(RELEASE_LIMIT, exchange).await;
         match ended {
             Ok(Ok(Some(answer))) if answer.status() == StatusCode::OK => {
--- a/crates/rack/src/control/running.rs
+++ b/crates/rack/src/control/running.rs
@@ -103,6 +103,16 @@
         }
         self.gone_told = false;
         self.step(Event::Server(word), Some(answer));
+        if let Some(server) = self.machine.server() {
+            self.warm(server.address);
+        }
+    }
+
+    /// Opens connections for calls about keys, if the server is called.
+    pub(super) fn warm(&self, server: SocketAddr) {
+        if self.machine.calls_server() {
+            tokio::task::spawn_local(self.calls.clone().warm(server));
+        }
     }
 
     fn tick(&mut self) {
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -25,6 +25,9 @@
 use super::dial::dial;
 use crate::clock;
 
+/// How often a busy pool is looked at for a free connection.
+const BUSY_LOOK: Duration = Duration::from_millis(5);
+
 /// Bounds the connections to one address.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PoolLimits {
@@ -67,6 +70,7 @@
 /// Is one connection; dropped, it is closed, and what was asked on it is cancelled at the far side.
 #[derive(Debug)]
 struct Connection {
+    opened: Moment,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -143,18 +147,25 @@
         }
     }
 
-    /// Sends a request that is written only once a connection is open, since its content depends on the
-    /// time; none if it is too late by then.
+    /// Sends a request that is written only once a connection is free, since its content depends on the
+    /// time; none if it is too late by then, or if there is no connection that was opened before a moment.
     pub(crate) async fn exchange_late<M>(
         &self,
         address: SocketAddr,
+        before: Option<Moment>,
         make: M,
     ) -> Result<Option<Response<Bytes>>, ExchangeError>
     where
         M: Fn() -> Option<Request<Full<Bytes>>>,
     {
         loop {
-            let mut connection = self.connect(address, self.limits.idle).await?;
+            let mut connection = match before {
+                None => self.connect(address, self.limits.idle).await?,
+                Some(before) => match self.older(address, before).await {
+                    Some(connection) => connection,
+                    None => return Ok(None),
+                },
+            };
             let Some(request) = make() else {
                 self.keep(address, connection);
                 return Ok(None);
@@ -166,6 +177,51 @@
         }
     }
 
+    /// Opens connections until as many are idle as are kept.
+    pub(crate) async fn warm(&self, address: SocketAddr) -> Result<(), ExchangeError> {
+        while self.idle_at(address) < self.limits.kept {
+            let connection = self.open(address).await?;
+            self.keep(address, connection);
+        }
+        Ok(())
+    }
+
+    /// Waits for a connection that was opened before a moment; none if there is none, idle or in use.
+    async fn older(&self, address: SocketAddr, before: Moment) -> Option<Connection> {
+        loop {
+            let found = self.take_older(address, before);
+            if found.is_some() || self.idle_at(address) >= self.open.get() {
+                return found;
+            }
+            tokio::time::sleep(BUSY_LOOK).await;
+        }
+    }
+
+    /// Takes the one that has been idle for longest, so that all stay in use.
+    fn take_older(&self, address: SocketAddr, before: Moment) -> Option<Connection> {
+        self.drop_old(address);
+        let mut all = self.idle.borrow_mut();
+        let kept = all.get_mut(&address)?;
+        let usable =
+            |idle: &Idle| idle.connection.opened < before && idle.connection.sender.is_ready();
+        let place = kept.iter().position(usable)?;
+        Some(kept.remove(place).connection)
+    }
+
+    fn idle_at(&self, address: SocketAddr) -> usize {
+        self.drop_old(address);
+        self.idle.borrow().get(&address).map_or(0, Vec::len)
+    }
+
+    fn drop_old(&self, address: SocketAddr) {
+        let now = clock::now();
+        if let Some(kept) = self.idle.borrow_mut().get_mut(&address) {
+            kept.retain(|idle| {
+                now.since(idle.since) < self.limits.idle && !idle.connection.sender.is_closed()
+            });
+        }
+    }
+
     /// Tells whether a connection is open, idle or not.
     pub(crate) fn is_connected(&self) -> bool {
         self.open.get() > 0
@@ -195,11 +251,9 @@
     fn take(&self, address: SocketAddr, idle: Duration) -> Option<Connection> {
         let now = clock::now();
         let longest = idle.min(self.limits.idle);
+        self.drop_old(address);
         let mut all = self.idle.borrow_mut();
         let kept = all.get_mut(&address)?;
-        kept.retain(|idle| {
-            now.since(idle.since) < self.limits.idle && !idle.connection.sender.is_closed()
-        });
         let newest = kept
             .last()
             .filter(|newest| now.since(newest.since) < longest)?;
@@ -233,6 +287,7 @@
             drop(open);
         });
         Ok(Connection {
+            opened: clock::now(),
             sender,
             task: task.abort_handle(),
         })
