mesh: a node without the operators' document counts on neither way of granting

A service may say in the document how its servers are granted keys, and where it does not the host's settings say. A process that starts while the store is away took the settings for the service's word: beside a server that is called it said after two heartbeats that nothing is held, while calls of its earlier process were still obeyed, and the leader may then give the keys to a second owner. The document that the node then fetched came too late for that.

Change: without a document a node knows what its server holds only when both ways say so, and grants nothing.

--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -192,7 +192,7 @@
             // Rounded down, so that the leader takes the moment for later than it was.
             quiet: milliseconds(now.since(self.obeyed)),
             left: milliseconds(left),
-            known: self.knows_holding(now, granting),
+            known: self.knows_holding(now),
             granting,
             holding: holding.clone(),
             leftover: self.server.leftover(now),
@@ -217,14 +217,19 @@
     }
 
     /// Tells whether this process knows all that its server may hold.
-    fn knows_holding(&self, now: Moment, granting: Granting) -> bool {
+    fn knows_holding(&self, now: Moment) -> bool {
         let age = now.since(self.started);
-        match granting {
+        let knows = |granting| match granting {
             Granting::ByHeartbeat => {
                 self.server.is_settled(granting) || age >= LeaseTimes::waited(self.times.lease)
             }
             // Calls of an earlier process have ended by then, obeyed or not.
             Granting::ByCall => age >= LeaseTimes::waited(self.times.hold + self.times.call),
+        };
+        match self.intent.config {
+            Some(_) => knows(self.granting()),
+            // The document may say either way.
+            None => knows(Granting::ByHeartbeat) && knows(Granting::ByCall),
         }
     }
 
--- a/crates/mesh/src/ownership/node_machine/serving.rs
+++ b/crates/mesh/src/ownership/node_machine/serving.rs
@@ -10,6 +10,7 @@
 use crate::ownership::HeartbeatAnswer;
 use crate::ownership::ServerCard;
 use crate::ownership::ServerEvent;
+use crate::ownership::holder::Lease;
 
 /// How many heartbeats a backend server may miss until nothing is granted to it.
 const MISSED_HEARTBEATS: u32 = 3;
@@ -33,8 +34,8 @@
                     );
                     note(actions, "server_life", epoch, detail);
                 }
-                let lease = self.lease.as_ref().filter(|lease| now < lease.until);
                 let granting = self.granting();
+                let lease = usable(now, &self.lease, &self.intent);
                 let answer = self
                     .server
                     .hear(now, heartbeat, granting, lease, &self.times);
@@ -74,7 +75,7 @@
     /// Asks the backend server for what the lease says, if it is granted keys by call.
     pub(super) fn call_server(&mut self, now: Moment, actions: &mut Vec<Action>) {
         let granting = self.granting();
-        let lease = self.lease.as_ref().filter(|lease| now < lease.until);
+        let lease = usable(now, &self.lease, &self.intent);
         let calls = self.server.call(now, granting, lease, &self.times);
         actions.extend(calls.into_iter().map(Action::CallServer));
     }
@@ -127,3 +128,14 @@
         })
     }
 }
+
+/// Returns the lease if it lasts and the document is known, which may say another way of granting than the
+/// host's settings.
+fn usable<'a>(
+    now: Moment,
+    lease: &'a Option<Lease>,
+    intent: &OperatorsIntent,
+) -> Option<&'a Lease> {
+    let lease = lease.as_ref()?;
+    (now < lease.until && intent.config.is_some()).then_some(lease)
+}
