mesh: a server that leaves before its node has heard it has left

Cause: a process that has just started hears a server's leave before any of its heartbeats, acknowledges it and remembers nothing, since it knows no life that could have left. A heartbeat from before, seconds late, then tells it of a server to use. Class: a word that is acknowledged and not kept.

Change: the leave is remembered by name; for 10 s no heartbeat under that name brings the server back. A next life under the same name waits as long, in a process that has just started beside a server that had just left.

server_leaves::late_heartbeat failed before and passes; mesh's tests are green.

--- a/crates/mesh/src/ownership/holder/server_watch.rs
+++ b/crates/mesh/src/ownership/holder/server_watch.rs
@@ -27,6 +27,9 @@
 const FREED_KEPT: Duration = Duration::from_secs(10);
 /// How many lives that left are remembered, against heartbeats that come after them.
 const LEFT_KEPT: usize = 8;
+/// For how long a server that left unheard is not taken for alive again: a heartbeat from before may come
+/// seconds late, and nothing tells it from one of a next life under the same id.
+const LATE_HEARTBEAT: Duration = Duration::from_secs(10);
 /// How long a life must be silent until another with an earlier birth counts as its successor: the
 /// time of day may have been set back between the two.
 const REPLACED: Duration = Duration::from_millis(2_500);
@@ -36,6 +39,8 @@
 pub(in crate::ownership) struct ServerWatch {
     pub(super) current: Option<Current>,
     left: Vec<ServerLife>,
+    /// Servers that left before this process had heard them, and when.
+    left_unheard: Vec<(ServerId, Moment)>,
     pub(super) called: CalledGrants,
 }
 
@@ -73,7 +78,9 @@
         lease: Option<&Lease>,
         times: &LeaseTimes,
     ) -> HeartbeatAnswer {
-        if self.left.contains(&heartbeat.life) || self.is_stale(now, &heartbeat) {
+        let left =
+            self.left.contains(&heartbeat.life) || self.left_unheard(now, &heartbeat.life.id);
+        if left || self.is_stale(now, &heartbeat) {
             return HeartbeatAnswer::Heard;
         }
         match granting {
@@ -95,16 +102,18 @@
     }
 
     /// Forgets the server: it leaves, and a heartbeat of this life that still comes changes nothing.
-    pub(in crate::ownership) fn leaves(&mut self, id: &ServerId) {
-        let life = self.life().filter(|life| life.id == *id).cloned();
-        if let Some(life) = life {
-            if self.left.len() == LEFT_KEPT {
-                self.left.remove(0);
-            }
-            self.left.push(life);
+    pub(in crate::ownership) fn leaves(&mut self, now: Moment, id: &ServerId) {
+        match self.life().filter(|life| life.id == *id).cloned() {
+            Some(life) => push_bounded(&mut self.left, life),
+            None => push_bounded(&mut self.left_unheard, (id.clone(), now)),
         }
     }
 
+    fn left_unheard(&self, now: Moment, id: &ServerId) -> bool {
+        let mut unheard = self.left_unheard.iter();
+        unheard.any(|(left, at)| left == id && now.since(*at) < LATE_HEARTBEAT)
+    }
+
     /// Returns the life that was heard last.
     pub(in crate::ownership) fn life(&self) -> Option<&ServerLife> {
         self.current.as_ref().map(|current| &current.newest.life)
@@ -303,3 +312,10 @@
         self.offers.iter().filter(move |offer| now < offer.until)
     }
 }
+
+fn push_bounded<T>(kept: &mut Vec<T>, item: T) {
+    if kept.len() == LEFT_KEPT {
+        kept.remove(0);
+    }
+    kept.push(item);
+}
--- a/crates/mesh/src/ownership/node_machine/serving.rs
+++ b/crates/mesh/src/ownership/node_machine/serving.rs
@@ -45,7 +45,7 @@
                 actions.push(Action::Answer(answer));
             }
             ServerEvent::Leaves(id) => {
-                self.server.leaves(&id);
+                self.server.leaves(now, &id);
                 self.forget_lease();
                 actions.push(Action::Answer(HeartbeatAnswer::Heard));
             }
