--- a/crates/mesh/tests/intent_reads.rs
+++ b/crates/mesh/tests/intent_reads.rs
@@ -1,17 +1,15 @@
 //! When the operators' topic is read.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
-use std::time::Duration;
+mod lone_node;
 
-use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::Granting;
 use quetzalrack_mesh::ownership::Action;
 use quetzalrack_mesh::ownership::Event;
 use quetzalrack_mesh::ownership::IntentRead;
-use quetzalrack_mesh::ownership::LeaseTimes;
-use quetzalrack_mesh::ownership::NodeLife;
-use quetzalrack_mesh::ownership::NodeMachine;
-use quetzalrack_mesh::ownership::NodeProfile;
+
+use lone_node::at;
+use lone_node::node;
 
 /// How long after its return a store's news may be unknown to a node that nobody tells: after so long a
 /// calm host counts as in touch again.
@@ -19,33 +17,11 @@
 /// How long a read without a wait may take until whoever carries it out gives up.
 const PATIENCE: u64 = 1_500;
 
-fn at(ms: u64) -> Moment {
-    Moment((1_000 + ms) * 1_000_000)
-}
-
-fn lone_node() -> NodeMachine {
-    let profile = NodeProfile {
-        life: NodeLife {
-            node: "node-1".parse().unwrap(),
-            life: 1,
-        },
-        zone: "zone".parse().unwrap(),
-        control: "127.0.0.1:7620".parse().unwrap(),
-        traffic: "127.0.0.1:7621".parse().unwrap(),
-        service: "service".parse().unwrap(),
-        heartbeat: Duration::from_millis(870),
-        granting: Granting::ByHeartbeat,
-        narrow: false,
-        seed: 1,
-    };
-    NodeMachine::new(at(0), profile, LeaseTimes::default())
-}
-
 /// Plays a node whose store answers nobody from one moment to another, and returns when each read that was
 /// answered had been begun. A read that is on its way when the silence begins, or begun in it, is never
 /// answered.
 fn answered(silent: std::ops::Range<u64>, end: u64) -> Vec<u64> {
-    let mut node = lone_node();
+    let mut node = node(Granting::ByHeartbeat);
     let mut answered = Vec::new();
     let mut reading: Option<(u64, u64)> = None;
     for now in (0..end).step_by(20) {
--- a/crates/mesh/tests/unknown_document.rs
+++ b/crates/mesh/tests/unknown_document.rs
@@ -1,70 +1,24 @@
 //! A node that does not know the operators' document.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod lone_node;
+
 use std::sync::Arc;
-use std::time::Duration;
 
-use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::Granting;
 use quetzalrack_mesh::model::OperatorsIntent;
 use quetzalrack_mesh::model::RoutingConfig;
-use quetzalrack_mesh::model::ServerHeartbeat;
-use quetzalrack_mesh::model::ServerId;
-use quetzalrack_mesh::model::ServerLife;
 use quetzalrack_mesh::ownership::Action;
 use quetzalrack_mesh::ownership::Beat;
 use quetzalrack_mesh::ownership::Epoch;
 use quetzalrack_mesh::ownership::Event;
 use quetzalrack_mesh::ownership::LeaderRecord;
-use quetzalrack_mesh::ownership::LeaseTimes;
-use quetzalrack_mesh::ownership::NodeLife;
-use quetzalrack_mesh::ownership::NodeMachine;
-use quetzalrack_mesh::ownership::NodeProfile;
 use quetzalrack_mesh::ownership::PeerMessage;
-use quetzalrack_mesh::ownership::ServerEvent;
-
-fn at(ms: u64) -> Moment {
-    Moment((1_000 + ms) * 1_000_000)
-}
-
-fn life(node: &str) -> NodeLife {
-    NodeLife {
-        node: node.parse().unwrap(),
-        life: 1,
-    }
-}
 
-fn node(granting: Granting) -> NodeMachine {
-    let profile = NodeProfile {
-        life: life("node-1"),
-        zone: "zone".parse().unwrap(),
-        control: "127.0.0.1:7620".parse().unwrap(),
-        traffic: "127.0.0.1:7621".parse().unwrap(),
-        service: "service".parse().unwrap(),
-        heartbeat: Duration::from_millis(870),
-        granting,
-        narrow: false,
-        seed: 1,
-    };
-    NodeMachine::new(at(0), profile, LeaseTimes::default())
-}
-
-fn heartbeat(sequence: u64) -> Event {
-    Event::Server(ServerEvent::Heartbeat(ServerHeartbeat {
-        life: ServerLife {
-            id: "server-1".parse::<ServerId>().unwrap(),
-            born: 1,
-        },
-        service: "service".parse().unwrap(),
-        address: "127.0.0.1:8301".parse().unwrap(),
-        slots: 10,
-        draining: false,
-        cold: Duration::ZERO,
-        sequence,
-        holds: Vec::new(),
-        freed: Vec::new(),
-    }))
-}
+use lone_node::at;
+use lone_node::heartbeat;
+use lone_node::life;
+use lone_node::node;
 
 fn leader() -> Event {
     let record = LeaderRecord {
