logs: why a request was refused, what an order changes, why no key moves

The known red tests of moving keys could not be told apart by their logs: a refusal of the interface of our own was written at the debug level only, a node did not say when it learned of its server's keys, and a leader was silent when a server was asked for more than it can do and nothing moved.

`request_refused` is now an info line with the time that the request had waited, `keys_assigned` names what an order adds to a lease and leaves out, `keys_not_moved` lists the servers' loads. A failed system test keeps the lines of all its programs in a folder that it prints.

--- a/crates/mesh/src/ownership/leader/leveling.rs
+++ b/crates/mesh/src/ownership/leader/leveling.rs
@@ -11,6 +11,7 @@
 use super::row::RowState;
 use super::row::Tenure;
 use crate::model::KeyRange;
+use crate::ownership::KeyLoad;
 use crate::placement::Candidate;
 use crate::placement::KeyMove;
 use crate::placement::pick_moves;
@@ -24,6 +25,9 @@
 /// the new holder has counted its requests.
 const MOVE_MEMORY: Duration = Duration::from_millis(3_500);
 
+/// The load above which a server is asked for more than it can do.
+const FULL: f64 = 1.0;
+
 /// Is a range that was moved for the sake of balance.
 #[derive(Clone, Debug)]
 pub(super) struct RecentMove {
@@ -54,11 +58,44 @@
         }
         clock.leveled = now;
         let candidates = self.candidates(service, targets);
-        for chosen in pick_moves(&candidates, MOST_MOVES) {
+        let moves = pick_moves(&candidates, MOST_MOVES);
+        if moves.is_empty() {
+            self.note_unmoved(service, targets, &candidates);
+        }
+        for chosen in moves {
             self.start_move(now, service, targets, &candidates, &chosen);
         }
     }
 
+    /// Notes the load of all servers if one is asked for more than it can do and nothing moves.
+    fn note_unmoved(
+        &mut self,
+        service: &ServiceName,
+        targets: &[NodeName],
+        candidates: &[Candidate],
+    ) {
+        if candidates.iter().all(|server| server.load <= FULL) {
+            return;
+        }
+        let recent = self
+            .clocks
+            .get(service)
+            .map_or(0, |clock| clock.moves.len());
+        let described = targets.iter().zip(candidates).map(|(node, server)| {
+            let parts = server.key_loads.iter().map(KeyLoad::slots);
+            format!(
+                "{node} load {:.2} slots {} parts {} least {:.2}",
+                server.load,
+                server.slots,
+                server.key_loads.len(),
+                parts.fold(f64::INFINITY, f64::min),
+            )
+        });
+        let described: Vec<String> = described.collect();
+        let detail = format!("{service}: {}; {recent} recent moves", described.join(", "));
+        self.notes.push(("keys_not_moved", detail));
+    }
+
     fn start_move(
         &mut self,
         now: Moment,
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -6,9 +6,13 @@
 use quetzalrack_core::time::Moment;
 
 use super::NodeMachine;
+use super::note::note;
+use crate::model::GrantedRange;
 use crate::model::Granting;
 use crate::ownership::Action;
+use crate::ownership::Assignment;
 use crate::ownership::Beat;
+use crate::ownership::Epoch;
 use crate::ownership::KeyLoad;
 use crate::ownership::LeaseTimes;
 use crate::ownership::Member;
@@ -110,6 +114,7 @@
         following.stamp = Some(order.stamp);
         match &order.assignment {
             Some(assignment) => {
+                self.note_assigned(order.epoch, assignment, actions);
                 let lease = Duration::from_millis(u64::from(order.lease));
                 self.lease = Some(Lease {
                     until: sent + lease,
@@ -136,6 +141,25 @@
         actions.push(Action::Publish);
     }
 
+    /// Notes which ranges an order adds to the lease or leaves out.
+    fn note_assigned(&self, epoch: Epoch, assignment: &Assignment, actions: &mut Vec<Action>) {
+        let known = self.lease.as_ref().map(|lease| &lease.assignment);
+        let lacks = |ranges: &[GrantedRange], other: &[GrantedRange]| {
+            let missing = ranges
+                .iter()
+                .filter(|range| other.iter().all(|known| known.held != range.held));
+            let missing: Vec<String> = missing.map(|range| range.held.keys.to_string()).collect();
+            missing.join(" ")
+        };
+        let known = known.map_or(&[][..], |known| &known.ranges);
+        let added = lacks(&assignment.ranges, known);
+        let dropped = lacks(known, &assignment.ranges);
+        if !added.is_empty() || !dropped.is_empty() {
+            let detail = format!("added: {added}; dropped: {dropped}");
+            note(actions, "keys_assigned", epoch, detail);
+        }
+    }
+
     /// Asks a node for the operators' intent if it has read further.
     fn fetch_newer(
         &mut self,
--- a/crates/node/src/traffic/ingress/caller_answer.rs
+++ b/crates/node/src/traffic/ingress/caller_answer.rs
@@ -43,11 +43,12 @@
                 if !refusal.code.is_callers_fault() {
                     self.counters.record(&call.matched, outcome, latency);
                 }
-                log::debug!(
+                log::info!(
                     event = "request_refused",
                     request:% = call.request,
                     route:% = call.matched.route.name,
-                    code:% = refusal.code;
+                    code:% = refusal.code,
+                    waited_ms = latency.as_millis() as u64;
                     "refused"
                 );
                 self.explain_refusal(call, &refusal, latency);
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -439,6 +439,23 @@
     }
 }
 
+impl Drop for World {
+    /// Keeps what the programs have logged if the test has failed.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        let folder = std::env::temp_dir().join(format!("quetzalrack-world-{}", self.net));
+        fs::create_dir_all(&folder).unwrap();
+        for (place, host) in self.hosts.iter().enumerate() {
+            let lines = host.lines.lock().unwrap();
+            let text: Vec<String> = lines.iter().map(Value::to_string).collect();
+            fs::write(folder.join(format!("node-{place}.log")), text.join("\n")).unwrap();
+        }
+        println!("the logs are in {}", folder.display());
+    }
+}
+
 impl Host {
     /// Starts the program on a host that is no part of its world yet.
     pub fn spawn(&self) -> NodeProcess {
