core: a new controller's table keeps the servers that it has not heard yet

Cause: the voters change with the order, so a new term begins two seconds later. Its controller starts with an empty table, publishes it 10 ms after its majority, and every ingress takes it in place of the last one. Nodes that had not spoken to the new controller by then were missing, until they had.

Fix: for as long as a deputy would wait for a silent controller (450 ms) the table in force fills the gaps: nodes of the same life that the controller has not heard, and the owners of slices that such a node has not reported. Whoever lives speaks within that time. Tables are hints: leases decide as before.

--- a/crates/core/src/ownership/machine/controller/routing_wanted.rs
+++ b/crates/core/src/ownership/machine/controller/routing_wanted.rs
@@ -6,11 +6,14 @@
 use super::Controller;
 use super::Outbox;
 use super::Seat;
+use super::SliceState;
 use crate::cluster::RoutingNode;
 use crate::cluster::RoutingTable;
 use crate::cluster::ServerState;
 use crate::cluster::ServiceSlices;
 use crate::explain::Happening;
+use crate::ids::NodeName;
+use crate::ids::SliceId;
 use crate::ids::SlotCount;
 use crate::ownership::PeerMessage;
 
@@ -50,8 +53,13 @@
     }
 
     fn wanted_routing(&self, context: &Context<'_>) -> RoutingTable {
-        let known = self.seats.iter().filter(|(_, seat)| seat.profile.is_some());
-        let nodes = known.map(|(name, seat)| (name.clone(), self.wanted_node(context, seat)));
+        let nodes = self.seats.iter().filter_map(|(name, seat)| {
+            let node = match seat.profile {
+                Some(_) => self.wanted_node(context, seat),
+                None => self.carried_node(context, seat)?,
+            };
+            Some((name.clone(), node))
+        });
         let mut table = RoutingTable {
             nodes: nodes.collect(),
             ..RoutingTable::default()
@@ -67,15 +75,48 @@
             table.services.insert(service.name.clone(), slices);
         }
         for (slice, entry) in &self.slices {
-            let owner = entry.assignment().filter(|known| known.confirmed);
+            let owner = match entry.state {
+                SliceState::Waiting(_) => self.carried_owner(context, slice),
+                _ => {
+                    let confirmed = entry.assignment().filter(|known| known.confirmed);
+                    confirmed.map(|known| &known.node)
+                }
+            };
             let service = table.services.get_mut(&slice.service);
             if let (Some(owner), Some(service)) = (owner, service) {
-                service.owners.insert(slice.index, owner.node.clone());
+                service.owners.insert(slice.index, owner.clone());
             }
         }
         table
     }
 
+    /// Tells whether a node may still be taken for what the last controller's table says. Whoever lives
+    /// speaks to this controller within that time; a table without the others would have every ingress
+    /// refuse their requests.
+    fn is_carried(&self, context: &Context<'_>, seat: &Seat) -> bool {
+        let recent = context.now.since(self.opened) < self.times().detection();
+        recent && seat.profile.is_none()
+    }
+
+    fn carried_node(&self, context: &Context<'_>, seat: &Seat) -> Option<RoutingNode> {
+        let known = context.routing.nodes.get(&seat.member.node)?;
+        let same = known.member.incarnation == seat.member.incarnation;
+        (same && self.is_carried(context, seat)).then(|| RoutingNode {
+            in_service: known.in_service && context.is_in_service(&known.member),
+            ..known.clone()
+        })
+    }
+
+    fn carried_owner<'a>(&self, context: &Context<'a>, slice: &SliceId) -> Option<&'a NodeName> {
+        let service = context.routing.services.get(&slice.service)?;
+        if service.count != self.divisions.count(&slice.service) {
+            return None;
+        }
+        let owner = service.owners.get(&slice.index)?;
+        let seat = self.seats.get(owner)?;
+        self.is_carried(context, seat).then_some(owner)
+    }
+
     fn wanted_node(&self, context: &Context<'_>, seat: &Seat) -> RoutingNode {
         let profile = seat.profile.as_ref();
         let slots = profile.map_or(SlotCount(0), |profile| profile.slots);
--- a/crates/core/tests/ownership/controller_change.rs
+++ b/crates/core/tests/ownership/controller_change.rs
@@ -45,3 +45,20 @@
     assert_ne!(cluster.line(), line);
     assert!(!cluster.line().contains(&lost));
 }
+
+/// Guards against tables of a new controller without the nodes that it has not heard yet: every ingress
+/// would refuse the requests for their servers, though these live.
+#[test]
+fn servers_stay_listed() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::started(seed, Layout::new(4, 4, 16));
+        cluster.run(9_000 + seed * 53);
+        let lost = cluster.controller().unwrap();
+        cluster.kill(lost);
+        for _ in 0..2_000 {
+            cluster.run(1);
+            let unlisted = cluster.unlisted();
+            assert!(unlisted.is_empty(), "seed {seed}: {unlisted:?}");
+        }
+    }
+}
--- a/crates/core/tests/ownership/support/cluster_view.rs
+++ b/crates/core/tests/ownership/support/cluster_view.rs
@@ -104,6 +104,21 @@
         })
     }
 
+    /// Returns which running nodes are not in service by the table of which running node.
+    pub fn unlisted(&self) -> Vec<(usize, usize)> {
+        let running = || self.nodes.iter().filter(|node| node.is_running(self.now));
+        let pairs = running().flat_map(|one| running().map(move |other| (one, other)));
+        let lacks = |(one, other): &(&FakeNode, &FakeNode)| {
+            let name = other.member(&self.layout).node;
+            let listed = one.routing.nodes.get(&name);
+            listed.is_none_or(|listed| !listed.in_service)
+        };
+        pairs
+            .filter(lacks)
+            .map(|(one, other)| (one.number, other.number))
+            .collect()
+    }
+
     /// Returns the controller that a node adopted last.
     pub fn followed_by(&self, node: usize) -> usize {
         let adopted = self
