node: a request at a node without a routing table waits for one

Callers saw: the other refusals of the known red `unrefused_*` tests, three requests in a row at one node.

Cause: a node that has not heard a controller yet has no table, and took that for "no server takes this". Requests by key wait for news in that case; others were refused at once.

A table that names no server refuses at once as before (`no_server`).

--- a/crates/node/src/traffic/ingress/anywhere.rs
+++ b/crates/node/src/traffic/ingress/anywhere.rs
@@ -32,6 +32,7 @@
 impl TrafficCore {
     /// Sends a request to a chosen node, and to another if that is worth it and within budget.
     pub(super) async fn run_anywhere(self: &Arc<Self>, call: &Call, payload: Payload) -> Answer {
+        self.wait_for_table(call).await?;
         let mut tried = Vec::new();
         let mut payload = Some(payload);
         let mut refused = None;
--- a/crates/node/src/traffic/ingress/owned.rs
+++ b/crates/node/src/traffic/ingress/owned.rs
@@ -137,6 +137,20 @@
         }
     }
 
+    /// Waits until this node has a routing table at all: one that has just started knows no server yet,
+    /// and that does not mean that there is none.
+    pub(super) async fn wait_for_table(&self, call: &Call) -> Result<(), Refusal> {
+        let give_up = self.owner_deadline(call);
+        loop {
+            let seen = self.seen(None);
+            if seen.routing != RoutingVersion::default() {
+                return Ok(());
+            }
+            let changed = self.wait_for_change(call, seen, give_up).await;
+            changed.map_err(|_| RefusalCode::NotReady)?;
+        }
+    }
+
     fn owner_deadline(&self, call: &Call) -> Moment {
         let latest = call.deadline.before(ANSWER_TIME);
         latest.min(self.clock.now() + OWNER_WAIT)
