mesh: whoever is to have keys hears of it at once

Callers saw: while a server left, one of its keys was refused for 0.35 s, until the next holder had it (known red `called_keys::drained`; the same gap for a hot range, an emptied zone, a host that ends).

Cause: the leader decides, and the new holder's node is told with the answer to its next beat, up to 0.4 s later, while a request waits for 0.35 s at most.

Fix: the leader sends the nodes to which it has granted keys a datagram that says no more than "speak now"; the order still answers a beat, so leases count from its sending as before. Lost, it costs what it cost so far. Beats follow one another after 10 ms at the earliest.

--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -1,6 +1,7 @@
 //! The leader's state and its reaction to beats and time.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -54,6 +55,8 @@
     pub(super) confirmed: Moment,
     /// When the leadership was handed to this leader, until it has an authority of its own.
     pub(super) starting: Option<Moment>,
+    /// Nodes whose servers were granted keys, and that have not been told to ask for them yet.
+    pub(super) prompted: BTreeSet<NodeName>,
     /// Decisions for the log: what, and the inputs.
     pub(super) notes: Vec<(&'static str, String)>,
 }
@@ -116,6 +119,7 @@
             intent,
             confirmed: Moment::default(),
             starting: None,
+            prompted: BTreeSet::new(),
             notes: Vec::new(),
         }
     }
@@ -162,6 +166,9 @@
             return;
         }
         let current = self.learn(now, &node, beat);
+        // This one is told with the answer.
+        self.prompted.remove(&node);
+        self.prompt(actions);
         let lease = self.authority.left(now, &self.times);
         // A leader without authority grants nothing, but a new one needs its orders repeated to get
         // any.
@@ -220,11 +227,25 @@
         self.lapse(now);
         self.account(now);
         self.place(now);
+        self.prompt(actions);
         self.note_silence(now);
         self.keep_record(now, actions);
         self.call_silent(now, actions);
     }
 
+    /// Has the nodes speak at once whose servers were granted keys.
+    fn prompt(&mut self, actions: &mut Vec<Action>) {
+        let epoch = self.record.epoch;
+        for node in std::mem::take(&mut self.prompted) {
+            if let Some(peer) = self.peers.get(&node) {
+                actions.push(Action::Send(
+                    peer.member.control,
+                    PeerMessage::Prompt { epoch },
+                ));
+            }
+        }
+    }
+
     fn note_beat(&mut self, now: Moment, node: &NodeName, beat: &Beat) {
         let peer = self.peers.entry(node.clone()).or_insert_with(|| {
             let mut peer = Peer::from_table(now, beat.member.clone(), 0);
--- a/crates/mesh/src/ownership/leader/moves.rs
+++ b/crates/mesh/src/ownership/leader/moves.rs
@@ -178,6 +178,7 @@
         self.fence = self.fence.next();
         let detail = format!("{service} {keys} to {node}, token {}", self.fence);
         self.notes.push(("keys_granted", detail));
+        self.prompted.insert(node.clone());
         let tenure = Tenure {
             node: node.clone(),
             server: Some(server),
--- a/crates/mesh/src/ownership/message/peer_message.rs
+++ b/crates/mesh/src/ownership/message/peer_message.rs
@@ -54,6 +54,12 @@
         /// Its epoch.
         epoch: Epoch,
     },
+    /// The leader has granted keys to a node's server: the node is to speak at once, since it is told
+    /// with the answer, and the keys have no owner until then.
+    Prompt {
+        /// The leader's epoch.
+        epoch: Epoch,
+    },
 }
 
 impl PeerMessage {
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -26,6 +26,9 @@
 /// How soon it speaks again while keys are on their way to its server.
 const EXPECTING: Duration = Duration::from_millis(100);
 
+/// The shortest time between two beats that the leader has asked for: grants come in bursts.
+const PROMPTED_PAUSE: Duration = Duration::from_millis(10);
+
 /// How many unanswered beats are remembered.
 const BEATS_KEPT: usize = 16;
 
@@ -91,6 +94,13 @@
                     following.resigned = true;
                 }
             }
+            PeerMessage::Prompt { epoch } => {
+                if self.epoch() == Some(epoch) {
+                    let last = self.sent.back().map(|(_, at)| *at);
+                    let rested = last.map_or(now, |last| now.max(last + PROMPTED_PAUSE));
+                    self.beat_due = self.beat_due.min(rested);
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/crates/mesh/tests/prompts.rs
@@ -0,0 +1,63 @@
+//! A leader that has something to tell has its nodes ask at once.
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod lone_node;
+
+use quetzalrack_mesh::model::Granting;
+use quetzalrack_mesh::ownership::Action;
+use quetzalrack_mesh::ownership::Epoch;
+use quetzalrack_mesh::ownership::Event;
+use quetzalrack_mesh::ownership::LeaderRecord;
+use quetzalrack_mesh::ownership::NodeMachine;
+use quetzalrack_mesh::ownership::PeerMessage;
+
+use lone_node::at;
+use lone_node::life;
+use lone_node::node;
+
+const LEADER: &str = "127.0.0.1:7630";
+
+fn message(message: PeerMessage) -> Event {
+    Event::Message(LEADER.parse().unwrap(), message)
+}
+
+fn beats(node: &mut NodeMachine, ms: u64, event: Event) -> usize {
+    let actions = node.step(at(ms), event);
+    let beat = |action: &&Action| matches!(action, Action::Send(_, PeerMessage::Beat(_)));
+    actions.iter().filter(beat).count()
+}
+
+fn following() -> NodeMachine {
+    let mut node = node(Granting::ByCall);
+    let record = LeaderRecord {
+        epoch: Epoch(256),
+        leader: life("node-2"),
+        control: LEADER.parse().unwrap(),
+        voters: Vec::new(),
+        complete: true,
+        alone: true,
+    };
+    node.step(at(0), message(PeerMessage::Lead(Box::new(record))));
+    node
+}
+
+/// Guards against keys without an owner until the next beat of the node whose server is to have them.
+#[test]
+fn at_once() {
+    let mut node = following();
+    let prompt = || message(PeerMessage::Prompt { epoch: Epoch(256) });
+    assert_eq!(beats(&mut node, 50, Event::Tick), 0);
+    assert_eq!(beats(&mut node, 60, prompt()), 1);
+    // A burst of grants shares the next one.
+    assert_eq!(beats(&mut node, 62, prompt()), 0);
+    assert_eq!(beats(&mut node, 63, prompt()), 0);
+    assert_eq!(beats(&mut node, 70, Event::Tick), 1);
+}
+
+/// Guards against beats for a leader that is followed no more.
+#[test]
+fn other_epoch() {
+    let mut node = following();
+    let prompt = message(PeerMessage::Prompt { epoch: Epoch(255) });
+    assert_eq!(beats(&mut node, 60, prompt), 0);
+}
