mesh, rack: whoever refuses a request names the key's next owner

A node that sends a request to the last holder of its key learns of the next one with its own next beat, up to 0.4 s later, and asks the last one every 40 ms until then.

Fix: a node that refuses a request by key says who owns it by its own table, with that table's epoch and version. The sender follows that if it is newer than its own table, twice at most without a look at it. A word is a hint as the table is: whoever gets the request refuses it unless its server holds the key.

--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -16,6 +16,7 @@
 use quetzalrack_mesh::ownership::NodeLoad;
 use quetzalrack_mesh::traffic::KeyCounter;
 use quetzalrack_mesh::traffic::NotRun;
+use quetzalrack_mesh::traffic::OwnerWord;
 use quetzalrack_mesh::traffic::admission::Admission;
 use quetzalrack_mesh::traffic::admission::ColdRate;
 
@@ -102,9 +103,13 @@
         let _open = self.running.enter();
         let outcome = self.run(job).await;
         self.note(job, &outcome);
+        let view = self.board.view();
+        let refused = job.key.filter(|_| matches!(outcome, Outcome::NotRun(..)));
+        let owner = refused.and_then(|key| OwnerWord::of(&view.directory, &job.service, key));
         Report {
             outcome,
             load: Some(self.load()),
+            owner,
         }
     }
 
--- a/crates/rack/src/traffic/hop/hop_answer.rs
+++ b/crates/rack/src/traffic/hop/hop_answer.rs
@@ -22,11 +22,12 @@
     let load = report.load.unwrap_or_default();
     let (word, detail, response) = match report.outcome {
         Outcome::Answered(answer) => (ANSWERED, String::new(), answer),
-        Outcome::NotRun(reason, back) => (
-            NOT_RUN,
-            format!(" {reason} {}", back.as_millis()),
-            refusal(),
-        ),
+        Outcome::NotRun(reason, back) => {
+            let owner = report.owner.map(|owner| format!(" {owner}"));
+            let owner = owner.unwrap_or_default();
+            let detail = format!(" {reason} {}{owner}", back.as_millis());
+            (NOT_RUN, detail, refusal())
+        }
         Outcome::Lost(lost) => (LOST, format!(" {lost}"), refusal()),
     };
     let text = format!(
@@ -60,11 +61,13 @@
         pace: number()?,
         link: number()?,
     };
+    let mut owner = None;
     let outcome = match kind.as_str() {
         ANSWERED => Outcome::Answered(answer),
         NOT_RUN => {
             let reason = words.next()?.parse().ok()?;
             let back = words.next()?.parse().ok()?;
+            owner = words.next().and_then(|word| word.parse().ok());
             Outcome::NotRun(reason, Duration::from_millis(back))
         }
         LOST => Outcome::Lost(words.next()?.parse().ok()?),
@@ -73,5 +76,6 @@
     Some(Report {
         outcome,
         load: Some(load),
+        owner,
     })
 }
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -80,12 +80,8 @@
     /// Sends a job to the node at `address` and returns what became of it there.
     pub(in crate::traffic) async fn send(&self, address: SocketAddr, job: &Job) -> Report {
         let now = clock::now();
-        let unloaded = |outcome| Report {
-            outcome,
-            load: None,
-        };
         let Some(request) = hop_request::write(now, job) else {
-            return unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO));
+            return Report::bare(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO));
         };
         let patience = job.deadline.since(now) + WAY_BACK;
         let exchange = self.pool.exchange(
@@ -96,17 +92,16 @@
             |answer: &Response<_>| !answer.headers().contains_key(http::header::CONNECTION),
         );
         match tokio::time::timeout(patience, exchange).await {
-            Ok(Ok(answer)) => {
-                hop_answer::read(answer).unwrap_or_else(|| unloaded(Outcome::Lost(Lost::Foreign)))
-            }
+            Ok(Ok(answer)) => hop_answer::read(answer)
+                .unwrap_or_else(|| Report::bare(Outcome::Lost(Lost::Foreign))),
             Ok(Err(ExchangeError::Dial(_))) => {
-                unloaded(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO))
+                Report::bare(Outcome::NotRun(NotRun::NodeAway, Duration::ZERO))
             }
             Ok(Err(ExchangeError::Broken(_))) => {
                 self.pool.forget(address);
-                unloaded(Outcome::Lost(Lost::Broken))
+                Report::bare(Outcome::Lost(Lost::Broken))
             }
-            Err(_) => unloaded(Outcome::Lost(Lost::TimedOut)),
+            Err(_) => Report::bare(Outcome::Lost(Lost::TimedOut)),
         }
     }
 }
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -89,10 +89,7 @@
             return Ok(malformed());
         };
         let report = match self.board.is_leaving() && self.egress.is_closed() {
-            true => Report {
-                outcome: Outcome::NotRun(NotRun::NodeAway, AFTER_SHUTDOWN),
-                load: None,
-            },
+            true => Report::bare(Outcome::NotRun(NotRun::NodeAway, AFTER_SHUTDOWN)),
             false => self.egress.serve(&job).await,
         };
         Ok(hop_answer::write(report))
--- a/crates/rack/src/traffic/ingress/attempts.rs
+++ b/crates/rack/src/traffic/ingress/attempts.rs
@@ -23,6 +23,10 @@
     pub(super) failure: Option<Response<Bytes>>,
     /// The last refusal.
     pub(super) refusal: (NotRun, Duration),
+    /// The owner of the key by the word of a node that refused, until it is tried.
+    pub(super) named: Option<NodeName>,
+    /// How many such words were followed without a wait.
+    pub(super) words: u32,
     /// Since when the request waits for an owner of its key, and how long it does.
     pub(super) owner_wait: Option<(Moment, Duration)>,
 }
@@ -35,6 +39,8 @@
             lost: None,
             failure: None,
             refusal: (NotRun::NoServer, NOWHERE),
+            named: None,
+            words: 0,
             owner_wait: None,
         }
     }
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -190,7 +190,11 @@
                 break;
             }
             let view = self.board.view();
-            let node = match placing::next(now, &view, &self.chooser, job, &attempts.tried) {
+            let next = match attempts.named.take() {
+                Some(node) => Place::Node(node),
+                None => placing::next(now, &view, &self.chooser, job, &attempts.tried),
+            };
+            let node = match next {
                 Place::Node(node) => node,
                 Place::NoOwner => {
                     attempts.refusal = (NotRun::NotOwner, NOWHERE);
@@ -228,6 +232,7 @@
             waits.in_vain(now, directory, &job.service, key, span);
             return false;
         }
+        attempts.words = 0;
         // Either the table changes, or the same look is repeated a little later.
         tokio::time::timeout(OWNER_LOOK, self.board.changed())
             .await
@@ -241,19 +246,15 @@
         }
         let view = self.board.view();
         let Some(entry) = view.directory.members.get(node) else {
-            return Report {
-                outcome: Outcome::NotRun(NotRun::NodeAway, NOWHERE),
-                load: None,
-            };
+            return Report::bare(Outcome::NotRun(NotRun::NodeAway, NOWHERE));
         };
         self.chooser.borrow_mut().sent(node);
         let sending = self.hops.send(entry.member.traffic, job);
         let report = tokio::select! {
             report = sending => report,
-            () = placing::silence(&self.board, &self.hops, node) => Report {
-                outcome: Outcome::Lost(Lost::Broken),
-                load: None,
-            },
+            () = placing::silence(&self.board, &self.hops, node) => {
+                Report::bare(Outcome::Lost(Lost::Broken))
+            }
         };
         if let Outcome::NotRun(NotRun::NoDocument, _) = report.outcome
             && let Some(own) = view.directory.members.get(&self.me)
--- a/crates/rack/src/traffic/ingress/judging.rs
+++ b/crates/rack/src/traffic/ingress/judging.rs
@@ -5,6 +5,7 @@
 use http::StatusCode;
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_mesh::traffic::NotRun;
+use quetzalrack_mesh::traffic::OwnerWord;
 use quetzalrack_mesh::traffic::retry::RetryBudget;
 
 use super::Ingress;
@@ -22,6 +23,10 @@
 /// service is full everywhere.
 const MOST_NODES: usize = 4;
 
+/// How many words of refusing nodes are followed one after the other: two nodes with old tables could
+/// name each other for ever.
+const MOST_WORDS: u32 = 2;
+
 impl Ingress {
     /// Learns from an attempt; tells whether another one is to follow.
     pub(super) async fn go_on(
@@ -53,6 +58,9 @@
             Outcome::NotRun(reason, back) => {
                 attempts.refusal = (reason, back);
                 if job.key.is_some() && reason != NotRun::Full && reason != NotRun::Expired {
+                    if self.follow_word(attempts, &node, report.owner) {
+                        return true;
+                    }
                     // The table is behind; the owner of the key is known soon.
                     return self.wait_for_owner(job, attempts).await;
                 }
@@ -62,6 +70,23 @@
         }
     }
 
+    /// Takes the owner that a refusing node names for the next one to try, if it knows more than this node.
+    fn follow_word(
+        &self,
+        attempts: &mut Attempts,
+        refused: &NodeName,
+        word: Option<OwnerWord>,
+    ) -> bool {
+        let view = self.board.view();
+        let newer = |word: &OwnerWord| word.node != *refused && word.is_newer(&view.directory);
+        let Some(word) = word.filter(newer) else {
+            return false;
+        };
+        attempts.words += 1;
+        attempts.named = Some(word.node).filter(|_| attempts.words <= MOST_WORDS);
+        attempts.named.is_some()
+    }
+
     /// Counts an attempt that has reached a server.
     fn count(&self, job: &Job, attempts: &mut Attempts) {
         attempts.sent += 1;
--- a/crates/rack/src/traffic/outcome.rs
+++ b/crates/rack/src/traffic/outcome.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use quetzalrack_mesh::ownership::NodeLoad;
 use quetzalrack_mesh::traffic::NotRun;
+use quetzalrack_mesh::traffic::OwnerWord;
 
 /// Says why a request that was sent to a backend server has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,11 +31,24 @@
     Lost(Lost),
 }
 
-/// Is an outcome with the load that the node told along with it.
+/// Is an outcome with what the node told along with it.
 #[derive(Clone, Debug)]
 pub(super) struct Report {
     pub(super) outcome: Outcome,
     pub(super) load: Option<NodeLoad>,
+    /// Who owns the key by the table of the node that refused.
+    pub(super) owner: Option<OwnerWord>,
+}
+
+impl Report {
+    /// Makes a report of a node that told nothing else.
+    pub(super) fn bare(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            load: None,
+            owner: None,
+        }
+    }
 }
 
 impl Lost {
