rack: the stand-ins note tokens by ranges

A stand-in server checked each of the 21,845 keys of a grant one by one, with a map of names, under one lock for all servers of the test. On a busy machine that took longer than a call may (0.3 s), so the first grant of each range went unanswered, and `called_keys::drained` was red: what it showed then was its own server.

The check is the same and by ranges: whoever gets keys needs a higher token than any other life had them with. `ground_truth::repeated_token` shows that it still notices, part by part.

--- a/crates/rack/tests/system/support/truth.rs
+++ b/crates/rack/tests/system/support/truth.rs
@@ -20,11 +20,20 @@
 struct State {
     runs: HashMap<String, Vec<Run>>,
     holders: HashMap<String, Vec<(Row, Instant)>>,
-    /// For each key the highest token, and who had it.
-    fences: HashMap<u16, (u64, String)>,
+    /// For all keys the highest token, and who had it.
+    fences: Vec<Fenced>,
     broken: Vec<String>,
 }
 
+/// Is a range of keys with the highest token that any server had them with.
+#[derive(Clone, Debug)]
+struct Fenced {
+    first: u16,
+    last: u16,
+    highest: u64,
+    holder: String,
+}
+
 /// Is one run of a request.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -100,17 +109,16 @@
                     ));
                 }
             }
-            for key in *first..=*last {
-                let (highest, holder) = fences.entry(key).or_default();
-                if holder != life && *highest >= *fence {
-                    broken.push(format!(
-                        "{life} gets {key} with {fence}, and {holder} had it with {highest}"
-                    ));
-                    break;
-                }
-                *highest = (*highest).max(*fence);
-                life.clone_into(holder);
-            }
+            let outdated = raise(fences, life, (*first, *last, *fence));
+            broken.extend(outdated.map(|known| {
+                let Fenced {
+                    first: key,
+                    highest,
+                    holder,
+                    ..
+                } = known;
+                format!("{life} gets {key} with {fence}, and {holder} had it with {highest}")
+            }));
         }
         holders.insert(life.to_owned(), rows.to_vec());
     }
@@ -132,3 +140,54 @@
         keys.iter().filter(|held| **held).count()
     }
 }
+
+/// Notes that a life of a server has a range with its token; returns the first part of it that another had
+/// with one as high. It goes by ranges: key by key a stand-in would take as long for a grant as a call may.
+fn raise(fences: &mut Vec<Fenced>, life: &str, (first, last, fence): Row) -> Option<Fenced> {
+    if fences.is_empty() {
+        fences.push(Fenced {
+            first: 0,
+            last: u16::MAX,
+            highest: 0,
+            holder: String::new(),
+        });
+    }
+    let mut outdated = None;
+    let mut parts: Vec<Fenced> = Vec::new();
+    for known in fences.drain(..) {
+        if known.last < first || known.first > last {
+            parts.push(known);
+            continue;
+        }
+        let (from, to) = (known.first.max(first), known.last.min(last));
+        let part = |first, last| Fenced {
+            first,
+            last,
+            ..known.clone()
+        };
+        if known.holder != life && known.highest >= fence {
+            outdated.get_or_insert(part(from, to));
+        }
+        if known.first < from {
+            parts.push(part(known.first, from - 1));
+        }
+        parts.push(Fenced {
+            highest: known.highest.max(fence),
+            holder: life.to_owned(),
+            ..part(from, to)
+        });
+        if known.last > to {
+            parts.push(part(to + 1, known.last));
+        }
+    }
+    // Neighbours that are alike are one, or renewals would make ever more parts.
+    parts.dedup_by(|next, part| {
+        let alike = part.highest == next.highest && part.holder == next.holder;
+        if alike {
+            part.last = next.last;
+        }
+        alike
+    });
+    *fences = parts;
+    outdated
+}
