rack: a request is given up only after two failed connections in a row

Cause, provoked: the ingress stops waiting for a node that its leader does not hear once one connection to it fails to open in 0.4 s. A node that is busy for two seconds is not heard, and the queue of its connections is full, so an opening packet is dropped; it answers all the same.

Evidence: `full_queue::answer_comes` stops a node for 2.1 s while its server works on a request, and fills the queue.

Fix: two connections in a row, half a second apart, must fail. A host that is gone is given up 0.9 s later than before; nothing else depends on it.

--- a/crates/rack/src/traffic/ingress/placing.rs
+++ b/crates/rack/src/traffic/ingress/placing.rs
@@ -17,6 +17,10 @@
 /// How soon a node that is reached though the leader does not hear it is tried again.
 const LOOK_AGAIN: Duration = Duration::from_millis(500);
 
+/// How many connections in a row must fail to open: a busy host whose queue of connections is full drops
+/// an opening packet, and still answers what it works on.
+const UNREACHED: u32 = 2;
+
 /// Says where a job can go.
 pub(super) enum Place {
     /// To this node.
@@ -57,13 +61,22 @@
 /// That the leader does not hear it is a hint only: beats are lost, and leaders change. A request
 /// that was given up for the hint alone would be cut while its server works on it.
 pub(super) async fn silence(board: &Arc<Board>, hops: &HopClient, node: &NodeName) {
+    let mut failed = 0;
     loop {
         let view = board.view();
         let entry: Option<&DirectoryEntry> = view.directory.members.get(node);
-        match entry.filter(|entry| !entry.heard) {
-            Some(entry) if !hops.reaches(entry.member.traffic).await => return,
-            Some(_) => tokio::time::sleep(LOOK_AGAIN).await,
-            None => board.changed().await,
+        let Some(entry) = entry.filter(|entry| !entry.heard) else {
+            failed = 0;
+            board.changed().await;
+            continue;
+        };
+        failed = match hops.reaches(entry.member.traffic).await {
+            true => 0,
+            false => failed + 1,
+        };
+        if failed >= UNREACHED {
+            return;
         }
+        tokio::time::sleep(LOOK_AGAIN).await;
     }
 }
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod cold_servers;
 mod explained;
 mod faults;
+mod full_queue;
 mod ground_truth;
 mod growth;
 mod losses;
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -462,6 +462,11 @@
         NodeProcess::spawn(&self.settings, &[], &self.lines)
     }
 
+    /// Returns where other nodes send requests.
+    pub fn hops(&self) -> SocketAddr {
+        SocketAddr::new(self.clients.ip(), 7_620)
+    }
+
     /// Returns the program's process.
     pub fn process(&self) -> &NodeProcess {
         self.process.as_ref().unwrap()
