rack: a leaving process reads the first request of each connection

Cause: 2.3 s after SIGTERM idle connections are closed, and a connection that is opened later is idle until its first request is read.

Fix: such a connection is closed after its first request has been answered, or after a second without one.

--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderValue;
@@ -30,6 +31,10 @@
 
 /// The smallest buffer that the HTTP library takes for a header section.
 const SMALLEST_BUFFER: usize = 8 * 1024;
+/// How long the first request of a connection may take to come while the process leaves: clients send it
+/// when the connection is open, and a busy host reads it tenths of a second later.
+const FIRST_REQUEST: Duration = Duration::from_millis(1_000);
+
 /// Serves clients.
 #[derive(Clone)]
 pub(in crate::traffic) struct ClientPort {
@@ -76,6 +81,14 @@
                 log::info!(event = "head_too_slow", after_ms = limits.header_time.as_millis() as u64; "");
             }
             _ = closing.wait_for(|closing| *closing) => {
+                // The first request of a connection that has just been opened may be on its way.
+                tokio::select! {
+                    biased;
+                    () = departure.wait() => return,
+                    _ = connection.as_mut() => return,
+                    () = watched.first_taken() => {}
+                    () = tokio::time::sleep(FIRST_REQUEST) => {}
+                }
                 connection.as_mut().graceful_shutdown();
                 tokio::select! {
                     biased;
--- a/crates/rack/src/traffic/ingress/pipeline.rs
+++ b/crates/rack/src/traffic/ingress/pipeline.rs
@@ -38,6 +38,7 @@
     begun: RefCell<BTreeMap<u64, Begun>>,
     /// How many requests the library has passed on.
     taken: Cell<u64>,
+    first: Notify,
     /// How many of them are answered.
     answered: Cell<u64>,
     /// The place of the request whose head has begun and not ended, and since when.
@@ -64,6 +65,7 @@
             scanner: RefCell::default(),
             begun: RefCell::default(),
             taken: Cell::default(),
+            first: Notify::new(),
             answered: Cell::default(),
             head: Cell::default(),
             head_begun: Notify::new(),
@@ -88,6 +90,13 @@
         }
     }
 
+    /// Waits until the library has passed on the first request.
+    pub(super) async fn first_taken(&self) {
+        if self.taken.get() == 0 {
+            self.first.notified().await;
+        }
+    }
+
     /// Waits until the client has taken longer than `limit` for one head, and nothing before it is
     /// still to be answered.
     ///
@@ -114,6 +123,7 @@
     pub(super) async fn answer(&self, request: Request<Incoming>) -> Response<Bytes> {
         let number = self.taken.get();
         self.taken.set(number + 1);
+        self.first.notify_one();
         let (parts, body) = request.into_parts();
         let begun = self.begun.borrow_mut().remove(&number);
         let answer = match begun {
--- /dev/null
+++ b/crates/rack/tests/system/leaving.rs
@@ -0,0 +1,44 @@
+//! Processes that are told to leave while clients go on.
+
+use std::time::Duration;
+
+use reqwest::StatusCode;
+
+use super::support::World;
+
+const START: Duration = Duration::from_secs(30);
+/// After this time a leaving process has closed the connections that were open and unused.
+const CLOSED: Duration = Duration::from_millis(2_600);
+
+/// Guards against a connection that a leaving process closes before it has read the first request: it is
+/// opened after the others were closed, and its request comes a moment later.
+#[tokio::test(flavor = "multi_thread")]
+async fn opened_late() {
+    let world = World::start(&["plain", "plain", "keyed"]).await;
+    world.settled(START).await;
+    world.write_patient_config(2);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for host in &world.hosts {
+        host.server.set_work(Duration::from_millis(3_400));
+    }
+    let keeps_it = world.ask_patiently(0, "long", "/plain/1");
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.terminate_node(0);
+        for host in &world.hosts {
+            host.server.set_work(Duration::from_millis(10));
+        }
+        tokio::time::sleep(CLOSED).await;
+        let request = "GET /plain/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: late\r\nX-Deadline-Ms: 1500\r\n\r\n";
+        world
+            .send_pieces(0, &["", request], Duration::from_secs(1))
+            .await
+    };
+    let (long, late) = tokio::join!(keeps_it, late);
+    assert_eq!(long, Some(StatusCode::OK));
+    let first = late.lines().next().unwrap_or_default();
+    assert!(
+        first == "HTTP/1.1 200 OK" || first.starts_with("HTTP/1.1 503"),
+        "{late:?}"
+    );
+}
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -8,6 +8,7 @@
 mod full_queue;
 mod ground_truth;
 mod growth;
+mod leaving;
 mod losses;
 mod pipelines;
 mod reload;
