mesh: load counts as a part of what the whole service is asked for

Callers saw: two hundred neighbouring keys were wanted for more than their server could do, and for twelve seconds none of them went elsewhere: one server did all it could, its neighbours nothing, and most requests were refused (known red `growth::hot_range_spreads`).

Cause: each request counts as work when it arrives. Refused ones come back at once and are counted again, so the server seems to be asked for twenty or sixty times what it can do, and each of the 24 parts of its load for more than any server can. A part is moved only where it leaves the target with room, so none is; after the first moves the targets stand at 0.9 and nothing follows.

The known red list blamed clients that wait for their answers on a busy machine, by reading; it is the other way round, the faster they come back the less moves.

Fix: where a service is asked for more than all its servers can do, loads count as parts of the mean, so the servers are levelled among one another; single keys that ask for more than a server can do stay.

`placement::far_too_much`: nothing moved before, between 150 and 250 of 600 slots' work at each of three servers now.

--- a/crates/mesh/src/placement/pick_moves.rs
+++ b/crates/mesh/src/placement/pick_moves.rs
@@ -42,6 +42,7 @@
 #[derive(Clone, Debug)]
 struct Projected {
     load: f64,
+    /// Its slots, times what the whole service is asked for if that is more than it can do.
     slots: f64,
     slowness: f64,
     phase: f64,
@@ -58,8 +59,13 @@
 /// Many at once, because a hot range asks for several servers' worth of work, and one move after the
 /// other would take longer than it stays hot. Narrow ones, because every moved key's work stops for
 /// a moment, and a hot range is narrow.
+///
+/// Where a service is asked for more than all its servers can do, a server's load counts as a part of
+/// the mean: what is refused comes back and is counted again, so no target would ever have room.
 pub fn pick_moves(servers: &[Candidate], most: usize) -> Vec<KeyMove> {
-    let mut projected: Vec<Projected> = servers.iter().map(Projected::new).collect();
+    let scale = mean_load(servers).max(1.0);
+    let scaled = servers.iter().map(|server| Projected::new(server, scale));
+    let mut projected: Vec<Projected> = scaled.collect();
     let mut moves = Vec::new();
     while moves.len() < most {
         let Some((from, to)) = widest_gap(&projected) else {
@@ -77,10 +83,10 @@
 }
 
 impl Projected {
-    fn new(server: &Candidate) -> Self {
+    fn new(server: &Candidate, scale: f64) -> Self {
         Self {
-            load: server.load,
-            slots: f64::from(server.slots.max(1)),
+            load: server.load / scale,
+            slots: f64::from(server.slots.max(1)) * scale,
             slowness: server.slowness.max(f64::MIN_POSITIVE),
             phase: server.phase,
             cold: server.cold,
@@ -100,6 +106,11 @@
     }
 }
 
+fn mean_load(servers: &[Candidate]) -> f64 {
+    let total: f64 = servers.iter().map(|server| server.load).sum();
+    total / servers.len().max(1) as f64
+}
+
 /// Returns the fullest server with keys to give away and the emptiest, if the gap is worth a move.
 fn widest_gap(servers: &[Projected]) -> Option<(usize, usize)> {
     let all = || servers.iter().enumerate();
--- a/crates/mesh/tests/placement.rs
+++ b/crates/mesh/tests/placement.rs
@@ -126,6 +126,25 @@
     );
 }
 
+/// Guards against a hot range from which nothing moves: refused requests come back at once, so its server
+/// seems to be asked for sixty times what it can do, and each part of it for more than any server can.
+#[test]
+fn far_too_much() {
+    let mut hot = server(20_000, 60.0);
+    let part = |place: u16| (place * 10, place * 10 + 9, 250);
+    let parts: Vec<(u16, u16, u32)> = (0..24).map(part).collect();
+    hot.key_loads = loads(&parts);
+    let servers = [hot, server(20_000, 0.9), server(20_000, 0.9)];
+    let moves = pick_moves(&servers, 12);
+    let got = |to: usize| moves.iter().filter(move |chosen| chosen.to == to);
+    let work = |to: usize| got(to).map(|chosen| chosen.work).sum::<f64>();
+    let (one, other) = (work(1), work(2));
+    // An even share would be two hundred.
+    for shared in [one, other, 600.0 - one - other] {
+        assert!((150.0..=250.0).contains(&shared), "{one} and {other}");
+    }
+}
+
 /// Nothing moves while no server is full, or none is much emptier.
 #[test]
 fn no_need() {
