--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -440,9 +440,9 @@
 }
 
 impl Drop for World {
-    /// Keeps what the programs have logged if the test has failed.
+    /// Keeps what the programs have logged if the test has failed, or `QUETZALRACK_TEST_LOGS` is set.
     fn drop(&mut self) {
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && std::env::var_os("QUETZALRACK_TEST_LOGS").is_none() {
             return;
         }
         let folder = std::env::temp_dir().join(format!("quetzalrack-world-{}", self.net));
