soak: a request without an answer is judged by whether the host had a process

Two causes were one line in the list of known red: a port without a process, which no process can help, and a connection that a leaving process closed unread. One that was sent earlier is a broken promise as before, also if its answer was missed only once the process had ended.

--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -75,6 +75,7 @@
         let host = &self.settings.host;
         let clients = listen(host.listen.clients)?;
         let peers = listen(self.settings.peers)?;
+        log::info!(event = "traffic_begins", clients:% = host.listen.clients, peers:% = self.settings.peers; "");
         if let Some(address) = self.settings.metrics {
             match listen(address) {
                 Ok(listener) => drop(tokio::task::spawn_local(serve_metrics(
--- a/crates/rack/tests/soak/clients.rs
+++ b/crates/rack/tests/soak/clients.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -52,6 +53,19 @@
     status: Option<u16>,
 }
 
+/// Is a request without an answer, with times on the clock of the programs' lines.
+#[derive(Clone, Debug)]
+struct Silence {
+    id: String,
+    place: usize,
+    sent: SystemTime,
+    /// What is to be said of it.
+    what: String,
+}
+
+/// Is a time in which a host had no process.
+pub type Absence = (SystemTime, SystemTime);
+
 /// Is a crowd of clients.
 pub struct Clients {
     entrances: Vec<Entrance>,
@@ -60,6 +74,7 @@
     next: AtomicU64,
     over: AtomicBool,
     outcomes: Mutex<HashMap<String, Outcome>>,
+    silences: Mutex<Vec<Silence>>,
 }
 
 impl Clients {
@@ -71,6 +86,7 @@
             next: AtomicU64::new(0),
             over: AtomicBool::new(false),
             outcomes: Mutex::default(),
+            silences: Mutex::default(),
         })
     }
 
@@ -146,7 +162,7 @@
         let status = match request.send().await {
             Ok(answer) => self.judge(&id, answer).await,
             Err(error) => {
-                self.judge_silence(&id, entrance, sent, &error);
+                self.judge_silence(&id, place, sent, &error);
                 None
             }
         };
@@ -180,7 +196,8 @@
     }
 
     /// An orderly end of a process is no reason for a client to get no answer.
-    fn judge_silence(&self, id: &str, entrance: &Entrance, sent: Instant, error: &reqwest::Error) {
+    fn judge_silence(&self, id: &str, place: usize, sent: Instant, error: &reqwest::Error) {
+        let entrance = &self.entrances[place];
         let calm_since = *entrance.disturbed.lock().unwrap() + Duration::from_secs(4);
         let after = sent.elapsed();
         // Nobody is there to answer; a busy machine takes a while to say so.
@@ -189,8 +206,28 @@
         }
         // Sooner it may have crossed the end of the process, or met its port without one.
         if after > TAKEN && sent > calm_since {
-            self.truth
-                .broken(format!("{id} got no answer after {after:?}: {error:?}"));
+            self.silences.lock().unwrap().push(Silence {
+                id: id.to_owned(),
+                place,
+                sent: SystemTime::now() - after,
+                what: format!("{id} got no answer after {after:?}: {error:?}"),
+            });
+        }
+    }
+
+    /// Checks that each request without an answer met a port without a process, or crossed the end of one.
+    pub fn check_silences<A>(&self, absences: A)
+    where
+        A: Fn(usize) -> Vec<Absence>,
+    {
+        for silence in self.silences.lock().unwrap().iter() {
+            let absences = absences(silence.place);
+            let met = |(from, to): &Absence| silence.sent + TAKEN >= *from && silence.sent <= *to;
+            if !absences.iter().any(met) {
+                let Silence { id, place, .. } = silence;
+                println!("{id} was sent to host {place} at {:?}", silence.sent);
+                self.truth.broken(silence.what.clone());
+            }
         }
     }
 
--- a/crates/rack/tests/soak/fleet.rs
+++ b/crates/rack/tests/soak/fleet.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use quetzalrack_testutils::proxy::DatagramFaults;
 use quetzalrack_testutils::proxy::DatagramProxy;
@@ -16,8 +17,10 @@
 use quetzalrack_testutils::proxy::StreamFaults;
 use quetzalrack_testutils::proxy::StreamProxy;
 use rustix::process::Signal;
+use serde_json::Value;
 use tempfile::TempDir;
 
+use crate::clients::Absence;
 use crate::clients::Clients;
 use crate::clients::Entrance;
 use crate::script;
@@ -205,6 +208,7 @@
         // What was given up may still be worked on for a moment.
         tokio::time::sleep(WORK * 10).await;
         clients.check_all();
+        clients.check_silences(|place| self.absences(place));
         let (served, all) = clients.served();
         println!(
             "seed {}: {served} of {all} served, settled after {took:?}",
@@ -486,6 +490,28 @@
         began.elapsed()
     }
 
+    /// Returns when nobody listened at a host after an orderly end, by the programs' own lines.
+    fn absences(&self, place: usize) -> Vec<Absence> {
+        let lines = self.hosts[place].lines.lock().unwrap();
+        let at = |line: &Value| {
+            let seconds = line["at"].as_f64().unwrap();
+            SystemTime::UNIX_EPOCH + Duration::from_secs_f64(seconds)
+        };
+        let mut absences = Vec::new();
+        let mut ended = None;
+        for line in lines.iter() {
+            match line["event"].as_str() {
+                Some("traffic_ends") => ended = Some(at(line)),
+                Some("traffic_begins") => {
+                    absences.extend(ended.take().map(|ended| (ended, at(line))));
+                }
+                _ => {}
+            }
+        }
+        absences.extend(ended.map(|ended| (ended, SystemTime::now())));
+        absences
+    }
+
     /// Writes what the programs have logged where a failed run can be looked at.
     fn keep_logs(&self) {
         let folder = std::env::temp_dir().join(format!("quetzalrack-soak-{}", self.seed));
