rack: a leaving process refuses at once what it can't finish

Two faults of one kind: what comes late to a leaving process is taken and cut at its end.

It leaves since the first time now.

From 2.3 s after SIGTERM on, when clients should have gone, a request whose time reaches beyond the process's last answers is refused at once, "not run", with the time after which the next process is there.

--- a/crates/rack/src/shared/board.rs
+++ b/crates/rack/src/shared/board.rs
@@ -61,9 +61,14 @@
         self.neighbour.store(Some(Arc::new(neighbour)));
     }
 
-    /// Tells the traffic that the process leaves from now on.
+    /// Tells the traffic that the process leaves from now on; told again, it leaves since the first time.
     pub fn set_leaving(&self, now: Moment) {
-        self.leaving.store(now.0, Ordering::Release);
+        let first = self
+            .leaving
+            .compare_exchange(0, now.0, Ordering::Release, Ordering::Relaxed);
+        if first.is_err() {
+            log::info!(event = "leaves_already"; "");
+        }
     }
 
     /// Tells whether the process leaves.
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -41,6 +41,7 @@
 use crate::traffic::outcome::Lost;
 use crate::traffic::outcome::Outcome;
 use crate::traffic::outcome::Report;
+use crate::traffic::traffic_node::CLIENTS_LEAVE;
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::OpenCount;
 
@@ -118,6 +119,16 @@
         let service = self.service(&route);
         let origin = self.settings.service.clone();
         let intake = intake::make(arrived, parts, body, route, service, origin);
+        if let Some(back) = self.ends_before(&intake) {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            self.note(&intake, "node_leaves", status, 0);
+            self.metrics.answered(
+                intake.route.name.as_str(),
+                status.as_u16(),
+                clock::now().since(arrived),
+            );
+            return not_run(back);
+        }
         let mut answer = tokio::select! {
             answer = self.place(&intake) => answer,
             () = self.last_moment() => {
@@ -141,12 +152,26 @@
         route.is_ok_and(|route| route.kind.is_repeatable())
     }
 
+    /// Returns when a client is to come back whose request comes so late to a leaving process that this
+    /// would end while the request may still run.
+    fn ends_before(&self, intake: &Intake) -> Option<Duration> {
+        let since = self.board.leaving_since()?;
+        let (now, last) = (clock::now(), self.last_answers(since));
+        let late = now >= since + CLIENTS_LEAVE && intake.due > last;
+        late.then(|| last.since(now) + LAST_ANSWERS)
+    }
+
+    /// Returns when the last answers are given by a process that leaves since a moment.
+    fn last_answers(&self, since: Moment) -> Moment {
+        since + self.settings.bounds.grace.saturating_sub(LAST_ANSWERS)
+    }
+
     /// Waits until the process is about to end. A request that is still somewhere in a queue then
     /// gets an answer, which promises nothing; else its client would see the connection cut.
     async fn last_moment(&self) {
         loop {
             if let Some(since) = self.board.leaving_since() {
-                let end = since + self.settings.bounds.grace.saturating_sub(LAST_ANSWERS);
+                let end = self.last_answers(since);
                 tokio::time::sleep(end.since(clock::now())).await;
                 return;
             }
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -26,7 +26,7 @@
 /// How often the load is counted for the control thread, which sends it on with its beats.
 const REPORT: Duration = Duration::from_millis(200);
 /// How long clients still come after SIGTERM: the platform asks once a second and takes two misses.
-const CLIENTS_LEAVE: Duration = Duration::from_millis(2_300);
+pub(super) const CLIENTS_LEAVE: Duration = Duration::from_millis(2_300);
 /// How long other nodes still send jobs after that; they learn within a beat that this one leaves.
 const NODES_LEAVE: Duration = Duration::from_millis(500);
 /// How much of the time until SIGKILL is left unused.
--- a/crates/rack/tests/system/leaving.rs
+++ b/crates/rack/tests/system/leaving.rs
@@ -42,3 +42,49 @@
         "{late:?}"
     );
 }
+
+/// Guards against requests that are cut when their process ends: it was told to leave twice, and counted its
+/// time from the second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn told_twice() {
+    let first = late_answer(Some(Duration::from_secs(3)), 4_000).await;
+    assert!(first.starts_with("HTTP/1.1 503"), "{first:?}");
+}
+
+/// Guards against requests that a leaving process takes though it ends before they must be answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn too_late() {
+    let first = late_answer(None, 15_000).await;
+    assert!(first.starts_with("HTTP/1.1 503"), "{first:?}");
+}
+
+/// Tells a process to leave, and once more after a while, and sends it a request 3.2 s after the first time
+/// that its server works on for long; returns the first line of what comes back at once.
+async fn late_answer(again: Option<Duration>, patience_ms: u32) -> String {
+    let world = World::start(&["plain", "plain", "keyed"]).await;
+    world.settled(START).await;
+    world.write_patient_config(2);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for host in &world.hosts {
+        host.server.set_work(Duration::from_secs(9));
+    }
+    let keeps_it = world.ask_patiently(0, "long", "/plain/1");
+    let late = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.terminate_node(0);
+        let again = again.unwrap_or_default();
+        tokio::time::sleep(again).await;
+        if !again.is_zero() {
+            world.terminate_node(0);
+        }
+        tokio::time::sleep(Duration::from_millis(3_200).saturating_sub(again)).await;
+        let request = format!(
+            "GET /plain/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: late\r\nX-Deadline-Ms: {patience_ms}\r\n\r\n"
+        );
+        world
+            .send_pieces(0, &["", &request], Duration::from_secs(1))
+            .await
+    };
+    let (_, late) = tokio::join!(keeps_it, late);
+    late.lines().next().unwrap_or_default().to_owned()
+}
