rack: a process closes its clients' port before it ends

Cause: the process waited for its clients, then for other nodes to take their answers, and accepted clients all the while. Whoever came then was served as long as the process happened to go on.

Evidence: SIGTERM at 22.200 s; a request sent at 25.870 s, run and done at 25.873 s, the connection closed in the same millisecond. Nothing else was cut.

Fix: when its work is done the process accepts what waits in the queue, closes the port, and ends once these are answered and other nodes have theirs; whoever comes later is told that nobody listens.

--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -22,7 +22,7 @@
 
 use super::Ingress;
 use super::pipeline::Pipeline;
-use crate::accept::accept_all;
+use crate::accept::accept_until;
 use crate::shared::Board;
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::OpenCount;
@@ -48,9 +48,23 @@
 }
 
 impl ClientPort {
-    /// Accepts connections until the process ends.
-    pub(in crate::traffic) async fn run(self, listener: TcpListener) {
-        accept_all(listener, "clients", |stream| self.clone().serve(stream)).await;
+    /// Accepts connections until `last` turns true.
+    pub(in crate::traffic) async fn run(
+        self,
+        listener: TcpListener,
+        mut last: watch::Receiver<bool>,
+    ) {
+        let over = async {
+            // Without a sender the process is over as well.
+            last.wait_for(|last| *last).await.ok();
+        };
+        accept_until(
+            listener,
+            "clients",
+            |stream| self.clone().serve(stream),
+            over,
+        )
+        .await;
     }
 
     async fn serve(self, stream: TcpStream) {
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -105,10 +105,12 @@
         );
         let (close, closing) = watch::channel(false);
         let (close_hops, hops_closing) = watch::channel(false);
+        let (last, none_after) = watch::channel(false);
         let leaving = Leaving {
             egress: Rc::clone(&egress),
             ingress: Rc::clone(&ingress),
             close,
+            last,
             clients: OpenCount::default(),
             close_hops,
             hops: OpenCount::default(),
@@ -120,7 +122,7 @@
             pacer: pacer.clone(),
             open: leaving.clients.clone(),
         };
-        tokio::task::spawn_local(port.run(clients));
+        tokio::task::spawn_local(port.run(clients, none_after));
         let hops = HopServer {
             egress: Rc::clone(&egress),
             board: Arc::clone(&self.board),
@@ -149,10 +151,17 @@
         while clock::now() < end && leaving.is_busy() {
             tokio::time::sleep(LOOK).await;
         }
+        // Whoever connects from now on is told that nobody listens, and not cut in the middle.
+        leaving.last.send(true).ok();
         // Answers to other nodes may still wait for the link: their connections end after them.
         leaving.close_hops.send(true).ok();
-        while clock::now() < end && leaving.hops.get() > 0 {
+        loop {
+            // What was accepted last counts only once it has run for the first time.
             tokio::time::sleep(LOOK).await;
+            let busy = leaving.is_busy() || leaving.hops.get() > 0;
+            if !busy || clock::now() >= end {
+                break;
+            }
         }
         log::info!(
             event = "traffic_ends", clients = leaving.ingress.running(),
@@ -167,6 +176,8 @@
     egress: Rc<Egress>,
     ingress: Rc<Ingress>,
     close: watch::Sender<bool>,
+    /// Turns true when no more clients are accepted.
+    last: watch::Sender<bool>,
     clients: OpenCount,
     close_hops: watch::Sender<bool>,
     hops: OpenCount,
--- a/crates/rack/tests/system/leaving.rs
+++ b/crates/rack/tests/system/leaving.rs
@@ -4,6 +4,7 @@
 
 use reqwest::StatusCode;
 
+use super::support::Anew;
 use super::support::World;
 
 const START: Duration = Duration::from_secs(30);
@@ -88,3 +89,22 @@
     let (_, late) = tokio::join!(keeps_it, late);
     late.lines().next().unwrap_or_default().to_owned()
 }
+
+/// Guards against requests that are cut because they come while the process ends: whoever connects then is
+/// answered, or told that nobody listens.
+#[tokio::test(flavor = "multi_thread")]
+async fn until_the_end() {
+    let mut world = World::start(&["plain", "plain", "keyed"]).await;
+    world.settled(START).await;
+    for host in &world.hosts {
+        host.server.set_work(Duration::from_millis(30));
+    }
+    world.terminate_node(0);
+    let mut cut = Vec::new();
+    while !world.hosts[0].has_ended() {
+        let asks = (0..12).map(|_| world.ask_anew(0, "/plain/1"));
+        let answers = futures::future::join_all(asks).await;
+        cut.extend(answers.into_iter().filter(|answer| *answer == Anew::Cut));
+    }
+    assert_eq!(cut, Vec::new());
+}
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -23,4 +23,5 @@
 pub use texts::config;
 pub use texts::settings;
 pub use truth::Truth;
+pub use world::Anew;
 pub use world::World;
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -76,6 +76,16 @@
     pub retry_after: Option<String>,
 }
 
+/// Is what became of a request on a connection of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Anew {
+    Answered,
+    /// Nobody listens.
+    Refused,
+    /// The connection was opened, and ended without an answer.
+    Cut,
+}
+
 impl World {
     /// Starts hosts, each for one service; services named `keyed` are divided by key.
     pub async fn start(services: &[&str]) -> Self {
@@ -348,6 +358,23 @@
         stream
     }
 
+    /// Sends a request on a connection of its own.
+    pub async fn ask_anew(&self, place: usize, path: &str) -> Anew {
+        let Ok(mut stream) = TcpStream::connect(self.hosts[place].clients).await else {
+            return Anew::Refused;
+        };
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: anew\r\nX-Deadline-Ms: 1500\r\n\r\n"
+        );
+        if stream.write_all(request.as_bytes()).await.is_err() {
+            return Anew::Cut;
+        }
+        match stream.read(&mut [0; 64]).await {
+            Ok(count) if count > 0 => Anew::Answered,
+            _ => Anew::Cut,
+        }
+    }
+
     /// Sends pieces of text on one connection, a moment apart, and returns all that comes back within
     /// a while.
     pub async fn send_pieces(&self, place: usize, pieces: &[&str], stay: Duration) -> String {
@@ -462,6 +489,11 @@
         NodeProcess::spawn(&self.settings, &[], &self.lines)
     }
 
+    /// Tells whether the program has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.process.as_mut().unwrap().has_ended()
+    }
+
     /// Returns where other nodes send requests.
     pub fn hops(&self) -> SocketAddr {
         SocketAddr::new(self.clients.ip(), 7_620)
