--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -233,19 +233,6 @@
         self.call_silent(now, actions);
     }
 
-    /// Has the nodes speak at once whose servers were granted keys.
-    fn prompt(&mut self, actions: &mut Vec<Action>) {
-        let epoch = self.record.epoch;
-        for node in std::mem::take(&mut self.prompted) {
-            if let Some(peer) = self.peers.get(&node) {
-                actions.push(Action::Send(
-                    peer.member.control,
-                    PeerMessage::Prompt { epoch },
-                ));
-            }
-        }
-    }
-
     fn note_beat(&mut self, now: Moment, node: &NodeName, beat: &Beat) {
         let peer = self.peers.entry(node.clone()).or_insert_with(|| {
             let mut peer = Peer::from_table(now, beat.member.clone(), 0);
@@ -270,25 +257,6 @@
         }
     }
 
-    /// Speaks to nodes that are silent: one that has started while the store is away knows nobody.
-    fn call_silent(&mut self, now: Moment, actions: &mut Vec<Action>) {
-        if !self.keeper.is_call_due(now, self.times.suspect) {
-            return;
-        }
-        let silent = self.peers.values().filter(|peer| !peer.is_heard(now));
-        let mut addresses: Vec<SocketAddr> = silent.map(|peer| peer.member.control).collect();
-        let unknown = self
-            .record
-            .voters
-            .iter()
-            .filter(|voter| !self.peers.contains_key(&voter.node));
-        addresses.extend(unknown.map(|voter| voter.control));
-        for address in addresses {
-            let record = Box::new(self.record.clone());
-            actions.push(Action::Send(address, PeerMessage::Lead(record)));
-        }
-    }
-
     /// Returns the members that this leader hears, for the directory of its own node.
     pub(in crate::ownership) fn heard(&self, now: Moment) -> impl Iterator<Item = &Member> {
         self.peers
--- a/crates/mesh/src/ownership/leader/mod.rs
+++ b/crates/mesh/src/ownership/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod assigning;
 mod authority;
+mod calling;
 mod candidates;
 mod handing;
 mod leader_machine;
--- a/crates/mesh/src/ownership/node_machine/following.rs
+++ b/crates/mesh/src/ownership/node_machine/following.rs
@@ -6,11 +6,8 @@
 use quetzalrack_core::time::Moment;
 
 use super::NodeMachine;
-use super::note::note;
-use crate::model::GrantedRange;
 use crate::model::Granting;
 use crate::ownership::Action;
-use crate::ownership::Assignment;
 use crate::ownership::Beat;
 use crate::ownership::Epoch;
 use crate::ownership::KeyLoad;
@@ -61,15 +58,7 @@
                 traffic,
             } => {
                 self.fetch_newer(now, intent, traffic, actions);
-                let hears = self.hears_leader(now) && self.epoch().is_some_and(|own| own >= epoch);
-                let say = PeerMessage::Say {
-                    from: self.profile.life.clone(),
-                    epoch,
-                    hears,
-                    intent: self.intent.offset,
-                    traffic: self.profile.traffic,
-                };
-                actions.push(Action::Send(from, say));
+                actions.push(Action::Send(from, self.say(now, epoch)));
             }
             PeerMessage::Say {
                 from,
@@ -94,16 +83,32 @@
                     following.resigned = true;
                 }
             }
-            PeerMessage::Prompt { epoch } => {
-                if self.epoch() == Some(epoch) {
-                    let last = self.sent.back().map(|(_, at)| *at);
-                    let rested = last.map_or(now, |last| now.max(last + PROMPTED_PAUSE));
-                    self.beat_due = self.beat_due.min(rested);
-                }
-            }
+            PeerMessage::Prompt { epoch } => self.hurry(now, epoch),
+        }
+    }
+
+    /// Tells another node whether the leader of an epoch is heard here.
+    fn say(&self, now: Moment, epoch: Epoch) -> PeerMessage {
+        let hears = self.hears_leader(now) && self.epoch().is_some_and(|own| own >= epoch);
+        PeerMessage::Say {
+            from: self.profile.life.clone(),
+            epoch,
+            hears,
+            intent: self.intent.offset,
+            traffic: self.profile.traffic,
         }
     }
 
+    /// Speaks to the leader as soon as may be, if it is the one that asks for it.
+    fn hurry(&mut self, now: Moment, epoch: Epoch) {
+        if self.epoch() != Some(epoch) {
+            return;
+        }
+        let last = self.sent.back().map(|(_, at)| *at);
+        let rested = last.map_or(now, |last| now.max(last + PROMPTED_PAUSE));
+        self.beat_due = self.beat_due.min(rested);
+    }
+
     pub(super) fn obey(&mut self, now: Moment, order: &Order, actions: &mut Vec<Action>) {
         let Some(following) = &mut self.following else {
             return;
@@ -151,25 +156,6 @@
         actions.push(Action::Publish);
     }
 
-    /// Notes which ranges an order adds to the lease or leaves out.
-    fn note_assigned(&self, epoch: Epoch, assignment: &Assignment, actions: &mut Vec<Action>) {
-        let known = self.lease.as_ref().map(|lease| &lease.assignment);
-        let lacks = |ranges: &[GrantedRange], other: &[GrantedRange]| {
-            let missing = ranges
-                .iter()
-                .filter(|range| other.iter().all(|known| known.held != range.held));
-            let missing: Vec<String> = missing.map(|range| range.held.keys.to_string()).collect();
-            missing.join(" ")
-        };
-        let known = known.map_or(&[][..], |known| &known.ranges);
-        let added = lacks(&assignment.ranges, known);
-        let dropped = lacks(known, &assignment.ranges);
-        if !added.is_empty() || !dropped.is_empty() {
-            let detail = format!("added: {added}; dropped: {dropped}");
-            note(actions, "keys_assigned", epoch, detail);
-        }
-    }
-
     /// Asks a node for the operators' intent if it has read further.
     fn fetch_newer(
         &mut self,
--- a/crates/mesh/src/ownership/node_machine/note.rs
+++ b/crates/mesh/src/ownership/node_machine/note.rs
@@ -1,6 +1,9 @@
 //! Lines for the log.
 
+use super::NodeMachine;
+use crate::model::GrantedRange;
 use crate::ownership::Action;
+use crate::ownership::Assignment;
 use crate::ownership::Epoch;
 
 /// Is a line for the log: what the node believes from now on.
@@ -22,3 +25,29 @@
         detail,
     }));
 }
+
+impl NodeMachine {
+    /// Notes which ranges an order adds to the lease or leaves out.
+    pub(super) fn note_assigned(
+        &self,
+        epoch: Epoch,
+        assignment: &Assignment,
+        actions: &mut Vec<Action>,
+    ) {
+        let known = self.lease.as_ref().map(|lease| &lease.assignment);
+        let lacks = |ranges: &[GrantedRange], other: &[GrantedRange]| {
+            let missing = ranges
+                .iter()
+                .filter(|range| other.iter().all(|known| known.held != range.held));
+            let missing: Vec<String> = missing.map(|range| range.held.keys.to_string()).collect();
+            missing.join(" ")
+        };
+        let known = known.map_or(&[][..], |known| &known.ranges);
+        let added = lacks(&assignment.ranges, known);
+        let dropped = lacks(known, &assignment.ranges);
+        if !added.is_empty() || !dropped.is_empty() {
+            let detail = format!("added: {added}; dropped: {dropped}");
+            note(actions, "keys_assigned", epoch, detail);
+        }
+    }
+}
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -43,22 +43,19 @@
 /// one heartbeat, and some.
 const AFTER_EVACUATION: Duration = Duration::from_millis(1_500);
 
-/// How often a line tells how many requests went to a cold server.
-const COLD_LINE: Duration = Duration::from_millis(1_000);
-
 /// Serves jobs at the backend server beside the node.
 pub(in crate::traffic) struct Egress {
     board: Arc<Board>,
-    metrics: Arc<Metrics>,
+    pub(super) metrics: Arc<Metrics>,
     service: ServiceName,
     zone: ZoneName,
     bounds: TimeBounds,
     link: ServerLink,
-    turns: Rc<Turns>,
+    pub(super) turns: Rc<Turns>,
     keys: RefCell<KeyCounter>,
     slowness: Cell<u16>,
     /// When the last line about requests to a cold server was written.
-    cold_line: Cell<Moment>,
+    pub(super) cold_line: Cell<Moment>,
     evacuated: Cell<bool>,
     life: RefCell<Option<ServerLife>>,
     running: OpenCount,
@@ -261,24 +258,6 @@
         }
     }
 
-    /// Writes a line for each second in which a cold server got requests.
-    fn note_cold(&self, now: Moment, view: &NodeView) {
-        let cold = self.turns.ask(|admission| {
-            let cold = admission.cold();
-            let (begun, written) = cold.recent(now);
-            (cold.is_cold(now) && written > 0).then(|| (begun, written, cold.rate(), cold.until()))
-        });
-        let due = now.since(self.cold_line.get()) >= COLD_LINE;
-        if let (Some((begun, written, rate, until)), Some(server), true) = (cold, &view.server, due)
-        {
-            self.cold_line.set(now);
-            log::info!(
-                event = "cold_server", server:% = server.life, begun = begun, written = written, rate:? = rate,
-                cold_ms = until.since(now).as_millis() as u64, intent = view.intent.offset; ""
-            );
-        }
-    }
-
     fn load(&self) -> NodeLoad {
         let (running, waiting) = self.turns.busy();
         let view = self.board.view();
@@ -291,31 +270,6 @@
             link: u16::try_from(self.turns.link_time(clock::now()).as_millis()).unwrap_or(u16::MAX),
         }
     }
-
-    fn note(&self, job: &Job, outcome: &Outcome) {
-        let (running, waiting) = self.turns.busy();
-        match outcome {
-            Outcome::Answered(_) => self.metrics.served(),
-            Outcome::NotRun(reason, back) => {
-                self.metrics.not_run(*reason);
-                let left = job.deadline.since(clock::now()).as_millis() as u64;
-                log::info!(
-                    event = "egress_not_run", id = job.name(), reason = reason.name(),
-                    route = job.route.as_str(), running = running, waiting = waiting,
-                    back_ms = back.as_millis() as u64, left_ms = left; ""
-                );
-            }
-            Outcome::Lost(lost) => {
-                self.metrics.lost(lost.name());
-                let left = job.deadline.since(clock::now()).as_millis() as u64;
-                log::info!(
-                    event = "egress_lost", id = job.name(), reason = lost.name(),
-                    route = job.route.as_str(), running = running, left_ms = left,
-                    repeatable = job.kind.is_repeatable(); ""
-                );
-            }
-        }
-    }
 }
 
 impl Lost {
--- a/crates/rack/src/traffic/egress/mod.rs
+++ b/crates/rack/src/traffic/egress/mod.rs
@@ -2,6 +2,7 @@
 //! kept here, in one process.
 
 mod egress_node;
+mod noting;
 mod server_link;
 mod turn;
 
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -41,15 +41,11 @@
 use crate::traffic::outcome::Lost;
 use crate::traffic::outcome::Outcome;
 use crate::traffic::outcome::Report;
-use crate::traffic::traffic_node::CLIENTS_LEAVE;
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::OpenCount;
 
 /// How long after a look at the table the next one follows while a key has no owner.
 const OWNER_LOOK: Duration = Duration::from_millis(40);
-/// How long before SIGKILL the last answers are given: the process ends 0.4 s before it, and they
-/// need a moment to be written.
-const LAST_ANSWERS: Duration = Duration::from_millis(600);
 /// The time that an attempt needs at least to be worth making.
 pub(super) const WORTHWHILE: Duration = Duration::from_millis(20);
 
@@ -152,33 +148,6 @@
         route.is_ok_and(|route| route.kind.is_repeatable())
     }
 
-    /// Returns when a client is to come back whose request comes so late to a leaving process that this
-    /// would end while the request may still run.
-    fn ends_before(&self, intake: &Intake) -> Option<Duration> {
-        let since = self.board.leaving_since()?;
-        let (now, last) = (clock::now(), self.last_answers(since));
-        let late = now >= since + CLIENTS_LEAVE && intake.due > last;
-        late.then(|| last.since(now) + LAST_ANSWERS)
-    }
-
-    /// Returns when the last answers are given by a process that leaves since a moment.
-    fn last_answers(&self, since: Moment) -> Moment {
-        since + self.settings.bounds.grace.saturating_sub(LAST_ANSWERS)
-    }
-
-    /// Waits until the process is about to end. A request that is still somewhere in a queue then
-    /// gets an answer, which promises nothing; else its client would see the connection cut.
-    async fn last_moment(&self) {
-        loop {
-            if let Some(since) = self.board.leaving_since() {
-                let end = self.last_answers(since);
-                tokio::time::sleep(end.since(clock::now())).await;
-                return;
-            }
-            self.board.changed().await;
-        }
-    }
-
     fn service(&self, route: &Route) -> ServiceName {
         let mut wheels = self.wheels.borrow_mut();
         let wheel = wheels.entry(route.name.clone()).or_default();
--- a/crates/rack/src/traffic/ingress/mod.rs
+++ b/crates/rack/src/traffic/ingress/mod.rs
@@ -6,6 +6,7 @@
 mod ingress_node;
 mod intake;
 mod judging;
+mod leaving;
 mod pipeline;
 mod placing;
 
