--- a/crates/rack/tests/soak/fleet.rs
+++ b/crates/rack/tests/soak/fleet.rs
@@ -9,7 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
 
 use quetzalrack_testutils::proxy::DatagramFaults;
 use quetzalrack_testutils::proxy::DatagramProxy;
@@ -17,10 +16,8 @@
 use quetzalrack_testutils::proxy::StreamFaults;
 use quetzalrack_testutils::proxy::StreamProxy;
 use rustix::process::Signal;
-use serde_json::Value;
 use tempfile::TempDir;
 
-use crate::clients::Absence;
 use crate::clients::Clients;
 use crate::clients::Entrance;
 use crate::script;
@@ -54,11 +51,11 @@
 const SAMPLE: [u16; 8] = [0, 9_000, 18_000, 27_000, 36_000, 45_000, 54_000, 65_535];
 
 /// Is one host.
-struct Host {
+pub(super) struct Host {
     server: StandInServer,
     settings: PathBuf,
     arguments: Vec<String>,
-    lines: Lines,
+    pub(super) lines: Lines,
     process: Option<NodeProcess>,
     streams: Vec<(Link, StreamProxy)>,
     datagrams: DatagramProxy,
@@ -68,10 +65,10 @@
 
 /// Is a fleet under test.
 pub struct Fleet {
-    seed: u64,
+    pub(super) seed: u64,
     store: StandInStore,
     truth: Arc<Truth>,
-    hosts: Vec<Host>,
+    pub(super) hosts: Vec<Host>,
     entrances: Vec<Entrance>,
     version: u64,
     lives: u32,
@@ -489,40 +486,6 @@
         }
         began.elapsed()
     }
-
-    /// Returns when nobody listened at a host after an orderly end, by the programs' own lines.
-    fn absences(&self, place: usize) -> Vec<Absence> {
-        let lines = self.hosts[place].lines.lock().unwrap();
-        let at = |line: &Value| {
-            let seconds = line["at"].as_f64().unwrap();
-            SystemTime::UNIX_EPOCH + Duration::from_secs_f64(seconds)
-        };
-        let mut absences = Vec::new();
-        let mut ended = None;
-        for line in lines.iter() {
-            match line["event"].as_str() {
-                Some("traffic_ends") => ended = Some(at(line)),
-                Some("traffic_begins") => {
-                    absences.extend(ended.take().map(|ended| (ended, at(line))));
-                }
-                _ => {}
-            }
-        }
-        absences.extend(ended.map(|ended| (ended, SystemTime::now())));
-        absences
-    }
-
-    /// Writes what the programs have logged where a failed run can be looked at.
-    fn keep_logs(&self) {
-        let folder = std::env::temp_dir().join(format!("quetzalrack-soak-{}", self.seed));
-        fs::create_dir_all(&folder).unwrap();
-        for (place, host) in self.hosts.iter().enumerate() {
-            let lines = host.lines.lock().unwrap();
-            let text: Vec<String> = lines.iter().map(ToString::to_string).collect();
-            fs::write(folder.join(format!("node-{place}.log")), text.join("\n")).unwrap();
-        }
-        println!("the logs are in {}", folder.display());
-    }
 }
 
 impl Drop for Fleet {
--- /dev/null
+++ b/crates/rack/tests/soak/lines.rs
@@ -0,0 +1,46 @@
+//! What the programs of a fleet have logged.
+
+use std::fs;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use serde_json::Value;
+
+use crate::clients::Absence;
+use crate::fleet::Fleet;
+
+impl Fleet {
+    /// Returns when nobody listened at a host after an orderly end, by the programs' own lines.
+    pub fn absences(&self, place: usize) -> Vec<Absence> {
+        let lines = self.hosts[place].lines.lock().unwrap();
+        let at = |line: &Value| {
+            let seconds = line["at"].as_f64().unwrap();
+            SystemTime::UNIX_EPOCH + Duration::from_secs_f64(seconds)
+        };
+        let mut absences = Vec::new();
+        let mut ended = None;
+        for line in lines.iter() {
+            match line["event"].as_str() {
+                Some("traffic_ends") => ended = Some(at(line)),
+                Some("traffic_begins") => {
+                    absences.extend(ended.take().map(|ended| (ended, at(line))));
+                }
+                _ => {}
+            }
+        }
+        absences.extend(ended.map(|ended| (ended, SystemTime::now())));
+        absences
+    }
+
+    /// Writes what the programs have logged where a failed run can be looked at.
+    pub fn keep_logs(&self) {
+        let folder = std::env::temp_dir().join(format!("quetzalrack-soak-{}", self.seed));
+        fs::create_dir_all(&folder).unwrap();
+        for (place, host) in self.hosts.iter().enumerate() {
+            let lines = host.lines.lock().unwrap();
+            let text: Vec<String> = lines.iter().map(ToString::to_string).collect();
+            fs::write(folder.join(format!("node-{place}.log")), text.join("\n")).unwrap();
+        }
+        println!("the logs are in {}", folder.display());
+    }
+}
--- a/crates/rack/tests/soak/main.rs
+++ b/crates/rack/tests/soak/main.rs
@@ -11,6 +11,7 @@
 
 mod clients;
 mod fleet;
+mod lines;
 mod script;
 
 use std::sync::Mutex;
--- a/crates/rack/tests/system/leaving.rs
+++ b/crates/rack/tests/system/leaving.rs
@@ -11,17 +11,23 @@
 /// After this time a leaving process has closed the connections that were open and unused.
 const CLOSED: Duration = Duration::from_millis(2_600);
 
-/// Guards against a connection that a leaving process closes before it has read the first request: it is
-/// opened after the others were closed, and its request comes a moment later.
-#[tokio::test(flavor = "multi_thread")]
-async fn opened_late() {
+/// Starts hosts whose servers take so long for a request, with routes that wait for it.
+async fn started(work: Duration) -> World {
     let world = World::start(&["plain", "plain", "keyed"]).await;
     world.settled(START).await;
     world.write_patient_config(2);
     tokio::time::sleep(Duration::from_secs(2)).await;
     for host in &world.hosts {
-        host.server.set_work(Duration::from_millis(3_400));
+        host.server.set_work(work);
     }
+    world
+}
+
+/// Guards against a connection that a leaving process closes before it has read the first request: it is
+/// opened after the others were closed, and its request comes a moment later.
+#[tokio::test(flavor = "multi_thread")]
+async fn opened_late() {
+    let world = started(Duration::from_millis(3_400)).await;
     let keeps_it = world.ask_patiently(0, "long", "/plain/1");
     let late = async {
         tokio::time::sleep(Duration::from_millis(200)).await;
@@ -62,13 +68,7 @@
 /// Tells a process to leave, and once more after a while, and sends it a request 3.2 s after the first time
 /// that its server works on for long; returns the first line of what comes back at once.
 async fn late_answer(again: Option<Duration>, patience_ms: u32) -> String {
-    let world = World::start(&["plain", "plain", "keyed"]).await;
-    world.settled(START).await;
-    world.write_patient_config(2);
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    for host in &world.hosts {
-        host.server.set_work(Duration::from_secs(9));
-    }
+    let world = started(Duration::from_secs(9)).await;
     let keeps_it = world.ask_patiently(0, "long", "/plain/1");
     let late = async {
         tokio::time::sleep(Duration::from_millis(200)).await;
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -4,6 +4,7 @@
 
 mod called_keys;
 mod node_process;
+mod raw_connection;
 mod stand_in_server;
 mod stand_in_store;
 mod texts;
@@ -13,6 +14,7 @@
 pub use called_keys::CallFault;
 pub use node_process::Lines;
 pub use node_process::NodeProcess;
+pub use raw_connection::Anew;
 pub use stand_in_server::ServerPlan;
 pub use stand_in_server::StandInServer;
 pub use stand_in_server::echo_of;
@@ -23,5 +25,4 @@
 pub use texts::config;
 pub use texts::settings;
 pub use truth::Truth;
-pub use world::Anew;
 pub use world::World;
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -15,9 +15,6 @@
 use rustix::process::Signal;
 use serde_json::Value;
 use tempfile::TempDir;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
 use super::node_process::Lines;
 use super::node_process::NodeProcess;
@@ -61,7 +58,7 @@
     pub server: StandInServer,
     /// This host's way to the store.
     pub store: Door,
-    clients: SocketAddr,
+    pub(super) clients: SocketAddr,
     readiness: SocketAddr,
     settings: PathBuf,
     process: Option<NodeProcess>,
@@ -76,16 +73,6 @@
     pub retry_after: Option<String>,
 }
 
-/// Is what became of a request on a connection of its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Anew {
-    Answered,
-    /// Nobody listens.
-    Refused,
-    /// The connection was opened, and ended without an answer.
-    Cut,
-}
-
 impl World {
     /// Starts hosts, each for one service; services named `keyed` are divided by key.
     pub async fn start(services: &[&str]) -> Self {
@@ -325,86 +312,6 @@
         }
     }
 
-    /// Sends requests behind one another on one connection, and closes it after a while.
-    pub async fn send_and_leave(&self, place: usize, sent: &[(&str, &str)], stay: Duration) {
-        let _stream = self.send_behind(place, sent).await;
-        tokio::time::sleep(stay).await;
-    }
-
-    /// Sends requests behind one another on one connection, and returns the ids of the answers in
-    /// the order in which they come.
-    pub async fn send_all(&self, place: usize, ids: &[&str]) -> Vec<String> {
-        let sent: Vec<(&str, &str)> = ids.iter().map(|id| ("/plain/1", *id)).collect();
-        let mut stream = self.send_behind(place, &sent).await;
-        let mut text = String::new();
-        while text.matches("done by").count() < ids.len() {
-            let mut piece = [0; 4_096];
-            let count = stream.read(&mut piece).await.unwrap();
-            assert!(count > 0, "the connection ended after {text}");
-            text.push_str(std::str::from_utf8(&piece[..count]).unwrap());
-        }
-        let lines = text.lines().filter_map(|line| line.split_once(": "));
-        let ids = lines.filter(|(name, _)| name.eq_ignore_ascii_case("x-request-id"));
-        ids.map(|(_, id)| id.to_owned()).collect()
-    }
-
-    async fn send_behind(&self, place: usize, sent: &[(&str, &str)]) -> TcpStream {
-        let mut stream = TcpStream::connect(self.hosts[place].clients).await.unwrap();
-        let requests = sent.iter().map(|(path, id)| {
-            format!("GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 1500\r\n\r\n")
-        });
-        let text: String = requests.collect();
-        stream.write_all(text.as_bytes()).await.unwrap();
-        stream
-    }
-
-    /// Sends a request on a connection of its own.
-    pub async fn ask_anew(&self, place: usize, path: &str) -> Anew {
-        let Ok(mut stream) = TcpStream::connect(self.hosts[place].clients).await else {
-            return Anew::Refused;
-        };
-        let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: anew\r\nX-Deadline-Ms: 1500\r\n\r\n"
-        );
-        if stream.write_all(request.as_bytes()).await.is_err() {
-            return Anew::Cut;
-        }
-        match stream.read(&mut [0; 64]).await {
-            Ok(count) if count > 0 => Anew::Answered,
-            _ => Anew::Cut,
-        }
-    }
-
-    /// Sends pieces of text on one connection, a moment apart, and returns all that comes back within
-    /// a while.
-    pub async fn send_pieces(&self, place: usize, pieces: &[&str], stay: Duration) -> String {
-        let mut stream = TcpStream::connect(self.hosts[place].clients).await.unwrap();
-        for piece in pieces {
-            stream.write_all(piece.as_bytes()).await.unwrap();
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        let mut text = Vec::new();
-        // The node keeps the connection open, so reading ends with the time.
-        tokio::time::timeout(stay, stream.read_to_end(&mut text))
-            .await
-            .ok();
-        String::from_utf8(text).unwrap()
-    }
-
-    /// Sends two texts on one connection with a rest between them, and returns what comes back.
-    pub async fn send_apart(&self, place: usize, one: &str, rest: Duration, other: &str) -> String {
-        let mut stream = TcpStream::connect(self.hosts[place].clients).await.unwrap();
-        stream.write_all(one.as_bytes()).await.unwrap();
-        tokio::time::sleep(rest).await;
-        stream.write_all(other.as_bytes()).await.unwrap();
-        let mut text = Vec::new();
-        // The node keeps the connection open, so reading ends with the time.
-        tokio::time::timeout(Duration::from_secs(1), stream.read_to_end(&mut text))
-            .await
-            .ok();
-        String::from_utf8(text).unwrap()
-    }
-
     /// Returns after which time every key of a sample is served at every host, to a fifth of a second:
     /// looks follow one another sooner than a request without an owner is refused.
     pub async fn served_after(&self, patience: Duration) -> Duration {
