--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -13,6 +13,7 @@
 mod losses;
 mod named_limits;
 mod pipelines;
+mod poison_requests;
 mod reload;
 mod shutdown;
 mod store_faults;
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod call_grants;
+mod content_checker;
 mod node_process;
 mod notice_checker;
 mod raw_connection;
@@ -13,6 +14,9 @@
 mod world;
 
 pub use call_grants::CallFault;
+pub use content_checker::Content;
+pub use content_checker::ContentChecker;
+pub use content_checker::ContentRecord;
 pub use node_process::Lines;
 pub use node_process::NodeProcess;
 pub use node_process::keep_logs;
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -13,6 +13,7 @@
 use axum::body::Bytes;
 use axum::extract::State;
 use axum::http::HeaderMap;
+use axum::http::Method;
 use axum::http::StatusCode;
 use axum::http::Uri;
 use axum::response::IntoResponse;
@@ -31,6 +32,7 @@
 use super::call_grants::Call;
 use super::call_grants::CallFault;
 use super::call_grants::CallGrants;
+use super::content_checker::Content;
 use super::truth::HeldRange;
 use super::truth::Truth;
 
@@ -42,6 +44,10 @@
 const REBIND_INTERVAL: Duration = Duration::from_millis(2);
 /// Window over which requests to a cold server are counted.
 const SECOND: Duration = Duration::from_secs(1);
+/// How long a server works on a content under which it ends.
+const END_DELAY: Duration = Duration::from_millis(15);
+/// How long a server that has ended under a content is away.
+const END_DOWNTIME: Duration = Duration::from_millis(400);
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -102,6 +108,10 @@
     response_bytes: usize,
     echo: bool,
     pub(super) dead: bool,
+    /// How often this server has ended under a content.
+    ended: u32,
+    /// Whether it starts again after such an end.
+    restarts: bool,
 }
 
 /// A heartbeat ready to be sent.
@@ -131,6 +141,7 @@
             plan,
         };
         server.rename(&server.plan.id);
+        server.set_restarts(true);
         server.open_port();
         while TcpStream::connect(server.plan.listen).await.is_err() {
             tokio::time::sleep(REBIND_INTERVAL).await;
@@ -180,6 +191,28 @@
         self.truth.drop_all(&incarnation);
     }
 
+    /// Ends under a content and starts again a little later, under an id of its own.
+    fn end_under(&self, content: &Content) {
+        let incarnation = self.incarnation();
+        let ended = self.lock().ended + 1;
+        self.truth.contents.ended(content, &incarnation);
+        self.crash();
+        self.lock().ended = ended;
+        let server = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(END_DOWNTIME).await;
+            // It may have been started again, or removed, in the meantime.
+            if server.incarnation() == incarnation && server.lock().restarts {
+                server.restart_as(&format!("{}-{ended}", server.plan.id));
+            }
+        });
+    }
+
+    /// Sets whether the server starts again by itself after it has ended under a content.
+    pub fn set_restarts(&self, restarts: bool) {
+        self.lock().restarts = restarts;
+    }
+
     /// Starts the next incarnation under this id, with no state of the previous one.
     pub fn restart_as(&self, id: &str) {
         let incarnation = self.incarnation();
@@ -196,6 +229,8 @@
             echo: state.echo,
             service_time: state.service_time,
             response_bytes: state.response_bytes,
+            ended: state.ended,
+            restarts: state.restarts,
             ..ServerState::default()
         };
         *state = ServerState {
@@ -533,6 +568,7 @@
 
 async fn handle_request(
     State(server): State<StandInServer>,
+    method: Method,
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
@@ -579,6 +615,21 @@
         )
     };
     server.truth.begin(&id, &incarnation);
+    let content = Content {
+        method: method.to_string(),
+        uri: uri.to_string(),
+        key,
+        body: body.to_vec(),
+    };
+    server.truth.contents.arrived(&content, &incarnation, &id);
+    if content.ends_servers() {
+        tokio::time::sleep(END_DELAY).await;
+        if server.incarnation() == incarnation {
+            server.end_under(&content);
+        }
+        // Ends with the connections of this incarnation.
+        std::future::pending::<()>().await;
+    }
     if echo {
         check_echoed(&server.truth, &id, &text("x-caller-service"), &body);
     }
--- a/crates/rack/tests/system/support/truth.rs
+++ b/crates/rack/tests/system/support/truth.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+use super::content_checker::ContentChecker;
 use super::notice_checker::NoticeChecker;
 
 /// Size of the key space.
@@ -17,6 +18,8 @@
 pub struct Truth {
     /// What servers said of themselves, and what they got afterwards.
     pub notices: NoticeChecker,
+    /// What servers got of contents under which they end.
+    pub contents: ContentChecker,
     state: Mutex<State>,
 }
 
