rack, core: log the end of a backend server with what was under way there

Operators could not tell a request that takes one server after the other from servers that end one after the other: retry and egress_lost name an id, which is another one in each client attempt.

Lines carry a digest of the content now, and the node beside a server looks, after a broken connection or a timeout, whether the server has ended: its port refuses, is silent, or closes at once after all connections broke. server_ended names what was under way. Nothing is decided by it yet.

--- a/crates/core/src/traffic/mod.rs
+++ b/crates/core/src/traffic/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod balancing;
 pub mod idempotency;
+pub mod poison;
 pub mod refusal;
 pub mod retry;
 pub mod routes;
--- /dev/null
+++ b/crates/core/src/traffic/poison/server_watch.rs
@@ -0,0 +1,96 @@
+//! What is under way at a backend server, for the case that it ends.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::ContentDigest;
+use super::ServerLife;
+use crate::ids::RouteName;
+use crate::time::Moment;
+
+/// How long a request that was cancelled or timed out may still be at work at its server.
+const CANCELLED_TIME: Duration = Duration::from_secs(2);
+/// How many such requests are remembered.
+const MAX_CANCELLED: usize = 256;
+
+/// Identifies one sending of a request to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunId(pub u64);
+
+/// A request under way at a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunningRequest {
+    /// The server that got it.
+    pub server: ServerLife,
+    /// What it asks for.
+    pub content: ContentDigest,
+    /// Its route.
+    pub route: RouteName,
+    /// Whether the content had been answered before, as far as the sender knows.
+    pub answered_before: bool,
+}
+
+/// Tracks the requests that were written to one host's backend server and are not answered.
+#[derive(Clone, Debug, Default)]
+pub struct ServerWatch {
+    running: BTreeMap<RunId, RunningRequest>,
+    /// Requests without an answer for which nobody waits any more, and since when.
+    cancelled: Vec<(Moment, RunningRequest)>,
+    last_run: u64,
+}
+
+impl ServerWatch {
+    /// Records that a request is about to be written to the server.
+    pub fn begin(&mut self, request: RunningRequest) -> RunId {
+        self.last_run += 1;
+        let run = RunId(self.last_run);
+        self.running.insert(run, request);
+        run
+    }
+
+    /// Records that the server answered a request, or certainly did not run it.
+    pub fn answered(&mut self, run: RunId) {
+        self.running.remove(&run);
+    }
+
+    /// Records that nobody waits for the answer to a request any more.
+    pub fn cancelled(&mut self, now: Moment, run: RunId) {
+        let Some(request) = self.running.remove(&run) else {
+            return;
+        };
+        self.cancelled
+            .retain(|(since, _)| now.since(*since) < CANCELLED_TIME);
+        if self.cancelled.len() < MAX_CANCELLED {
+            self.cancelled.push((now, request));
+        }
+    }
+
+    /// Records the end of a server; returns what was under way there, each content once.
+    pub fn end(&mut self, now: Moment, server: ServerLife) -> Vec<RunningRequest> {
+        let running = self
+            .running
+            .extract_if(.., |_, request| request.server == server);
+        let mut ended: Vec<RunningRequest> = running.map(|(_, request)| request).collect();
+        let cancelled = self
+            .cancelled
+            .extract_if(.., |(_, request)| request.server == server);
+        let recent = cancelled.filter(|(since, _)| now.since(*since) < CANCELLED_TIME);
+        ended.extend(recent.map(|(_, request)| request));
+        ended.sort_by_key(|request| request.content);
+        ended.dedup_by_key(|request| request.content);
+        ended
+    }
+
+    /// Returns how many requests of a content are under way.
+    pub fn copies(&self, content: &ContentDigest) -> usize {
+        let running = self.running.values();
+        running
+            .filter(|request| request.content == *content)
+            .count()
+    }
+
+    /// Returns the contents under way.
+    pub fn contents(&self) -> impl Iterator<Item = &ContentDigest> {
+        self.running.values().map(|request| &request.content)
+    }
+}
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -9,6 +9,7 @@
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::ids::ZoneName;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ServerWatch;
 use quetzalrack_mesh::model::KeyRange;
 use quetzalrack_mesh::model::LinkRate;
 use quetzalrack_mesh::model::PlatformBounds;
@@ -22,8 +23,10 @@
 use quetzalrack_mesh::traffic::admission::ColdRate;
 use quetzalrack_mesh::traffic::notices::NoticeTracker;
 use quetzalrack_platform::request::InvalidHeader;
+use tokio::sync::Notify;
 
 use super::admission_queue::AdmissionQueue;
+use super::server_client::EndSign;
 use super::server_client::ServerClient;
 use crate::clock;
 use crate::metrics::Metrics;
@@ -53,7 +56,7 @@
     service: ServiceName,
     zone: ZoneName,
     bounds: PlatformBounds,
-    client: ServerClient,
+    pub(super) client: ServerClient,
     pub(super) queue: Rc<AdmissionQueue>,
     key_counter: RefCell<KeyCounter>,
     slowdown_percent: Cell<u16>,
@@ -64,6 +67,10 @@
     pub(super) notices: RefCell<NoticeTracker>,
     /// The last header of the server that could not be used.
     pub(super) logged_invalid: RefCell<Option<InvalidHeader>>,
+    /// What is under way at the server.
+    pub(super) watch: RefCell<ServerWatch>,
+    /// Notified when a response did not come in time.
+    pub(super) timed_out: Notify,
     running: ActiveCounter,
     closed: Cell<bool>,
 }
@@ -92,6 +99,8 @@
             incarnation: RefCell::default(),
             notices: RefCell::default(),
             logged_invalid: RefCell::default(),
+            watch: RefCell::default(),
+            timed_out: Notify::new(),
             running: ActiveCounter::default(),
             closed: Cell::default(),
         });
@@ -101,6 +110,7 @@
             admission.set_started(clock::now());
         });
         tokio::task::spawn_local(Rc::clone(&egress.queue).dispatch_periodically());
+        tokio::task::spawn_local(Rc::clone(&egress).check_after_timeouts());
         egress
     }
 
@@ -192,6 +202,7 @@
             Err(reason) => return Outcome::NotRun(reason, RETRY_AFTER_UNUSABLE),
         };
         let sent = clock::now();
+        let run = self.begin_run(&server.incarnation, job);
         let (outcome, feedback) = self
             .client
             .send(
@@ -201,6 +212,15 @@
                 self.queue.as_ref(),
             )
             .await;
+        match outcome {
+            Outcome::Answered(_) | Outcome::NotRun(..) => run.answered(),
+            Outcome::Lost(LostReason::TimedOut) => self.timed_out.notify_one(),
+            Outcome::Lost(_) if feedback.broke => {
+                let (address, incarnation) = (server.address, &server.incarnation);
+                self.check_server(address, incarnation, clock::now()).await;
+            }
+            Outcome::Lost(_) => {}
+        }
         if let Some(headers) = feedback.own {
             self.record_notice(&server.incarnation, sent, headers);
             let limit = self.notices.borrow().limit();
@@ -266,8 +286,11 @@
         let now = clock::now();
         let evacuated = view.intent.evacuated.contains(&self.zone);
         let returned = self.zone_evacuated.replace(evacuated) && !evacuated;
-        let restarted = self.incarnation.replace(Some(server.incarnation.clone()))
-            != Some(server.incarnation.clone());
+        let previous = self.incarnation.replace(Some(server.incarnation.clone()));
+        let restarted = previous.as_ref() != Some(&server.incarnation);
+        if let Some(previous) = previous.filter(|_| restarted) {
+            self.record_end(&previous, EndSign::Replaced);
+        }
         let limit = self.notices.borrow().limit();
         let rate = self.cold_rate(view);
         let maybe_restarted = self.client.maybe_restarted(server.heartbeat_at);
--- a/crates/rack/src/traffic/egress/mod.rs
+++ b/crates/rack/src/traffic/egress/mod.rs
@@ -5,6 +5,7 @@
 mod egress_node;
 mod outcome_log;
 mod server_client;
+mod server_end;
 mod server_notices;
 
 pub(super) use egress_node::Egress;
--- a/crates/rack/src/traffic/egress/outcome_log.rs
+++ b/crates/rack/src/traffic/egress/outcome_log.rs
@@ -51,7 +51,7 @@
                 self.metrics.lost(reason.name());
                 let left = job.deadline.since(clock::now()).as_millis() as u64;
                 log::info!(
-                    event = "egress_lost", id = job.log_id(), reason = reason.name(),
+                    event = "egress_lost", id = job.log_id(), content:% = job.content, reason = reason.name(),
                     route = job.route.as_str(), running = running, left_ms = left,
                     repeatable = job.kind.is_repeatable(); ""
                 );
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -32,6 +32,7 @@
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
 use crate::traffic::wire::WriteLimiter;
+use crate::traffic::wire::dial;
 
 /// Limits of the connections to the backend server. A server closes idle connections after about
 /// ten seconds; one that was idle for a third of that is still open. As many are kept as the server
@@ -57,6 +58,27 @@
 /// How many unknown header names are logged, as a server may make them up.
 const MAX_LOGGED_HEADERS: usize = 32;
 
+/// How long the other connections to the server are given to break as well: those of a server that has ended
+/// break together.
+const BREAK_SPREAD: Duration = Duration::from_millis(1);
+/// How long the server's port may take to accept the connection that shows whether the server has ended.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(50);
+/// How long that connection is watched: a port without a server behind it closes it at once.
+const LOOK_TIME: Duration = Duration::from_millis(4);
+
+/// What shows that the backend server has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndSign {
+    /// Its port refuses connections.
+    Refused,
+    /// Its port does not respond.
+    Silent,
+    /// All connections broke, and its port closes new ones.
+    Closed,
+    /// A later incarnation of it runs.
+    Replaced,
+}
+
 /// Sends requests to the backend server and classifies its responses.
 #[derive(Debug)]
 pub(super) struct ServerClient {
@@ -80,6 +102,8 @@
     pub(super) slowdown_percent: Option<u32>,
     /// The headers of a response that certainly comes from the intended server.
     pub(super) own: Option<ResponseHeaders>,
+    /// Whether the connection broke without a response.
+    pub(super) broke: bool,
 }
 
 /// Records whether the limiter has allowed the request to be written; until then nothing of it was
@@ -150,6 +174,30 @@
             .is_some_and(|at| at >= heartbeat_at)
     }
 
+    /// Looks whether the server has ended, after a connection to it broke or a response did not come in time
+    /// at `noticed`. A single broken connection shows nothing: servers and links lose responses.
+    pub(super) async fn look_for_end(
+        &self,
+        address: SocketAddr,
+        noticed: Moment,
+    ) -> Option<EndSign> {
+        tokio::time::sleep(BREAK_SPREAD).await;
+        let stream = match dial(address, LOOK_TIMEOUT).await {
+            Ok(stream) => stream,
+            Err(DialError::Refused) => {
+                self.refused_at.set(Some(clock::now()));
+                return Some(EndSign::Refused);
+            }
+            Err(DialError::TimedOut | DialError::Io(_)) => return Some(EndSign::Silent),
+        };
+        if self.pool.is_connected_since(noticed) {
+            return None;
+        }
+        // The server has nothing to say on this connection, so that it becomes readable by its end alone.
+        let closed = tokio::time::timeout(LOOK_TIME, stream.readable()).await;
+        (closed.is_ok() && !self.pool.is_connected_since(noticed)).then_some(EndSign::Closed)
+    }
+
     /// Returns how many connections were opened so far.
     pub(super) fn opened_count(&self) -> u64 {
         self.pool.opened_count()
@@ -199,7 +247,11 @@
                 if error.is_parse() {
                     self.distrust();
                 }
-                (Outcome::Lost(LostReason::Broken), Feedback::default())
+                let feedback = Feedback {
+                    broke: !error.is_parse(),
+                    ..Feedback::default()
+                };
+                (Outcome::Lost(LostReason::Broken), feedback)
             }
             Err(_) if !limiter.is_write_allowed() => (
                 Outcome::NotRun(RefusalReason::Expired, RETRY_AFTER_REFUSAL),
@@ -223,6 +275,7 @@
         let feedback = Feedback {
             slowdown_percent: headers.load.and_then(|load| load.slowdown_percent),
             own: is_own.then(|| headers.clone()),
+            broke: false,
         };
         if is_own {
             let idle = headers.idle_timeout;
@@ -290,3 +343,15 @@
     );
     request
 }
+
+impl EndSign {
+    /// Returns the sign's name in logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "its port refuses connections",
+            Self::Silent => "its port does not respond",
+            Self::Closed => "its connections broke together",
+            Self::Replaced => "its successor runs",
+        }
+    }
+}
--- a/crates/rack/src/traffic/hop/hop_request.rs
+++ b/crates/rack/src/traffic/hop/hop_request.rs
@@ -69,13 +69,16 @@
     let deadline = now + time_left()?;
     let told = fields.next().and_then(notice_field::decode);
     let client_headers = RequestHeaders::read(&headers);
+    let key = client_headers.key;
+    let content = Job::digest_content(&parts.method, &parts.uri, &headers, key, &body);
     let job = Job {
         method: parts.method,
         uri: parts.uri,
         headers,
         body,
         id: client_headers.id,
-        key: client_headers.key,
+        content,
+        key,
         service,
         caller,
         route,
--- a/crates/rack/src/traffic/ingress/incoming_request.rs
+++ b/crates/rack/src/traffic/ingress/incoming_request.rs
@@ -111,13 +111,16 @@
     if let Some(timeout) = route.timeout {
         deadline = deadline.min(arrived + timeout);
     }
+    let key = client_headers.key;
+    let content = Job::digest_content(&parts.method, &parts.uri, &headers, key, &body);
     let job = Job {
         method: parts.method,
         uri: parts.uri,
         headers,
         body,
         id: client_headers.id,
-        key: client_headers.key,
+        content,
+        key,
         service,
         caller,
         route: route.name.clone(),
--- a/crates/rack/src/traffic/ingress/retrying.rs
+++ b/crates/rack/src/traffic/ingress/retrying.rs
@@ -144,7 +144,7 @@
         }
         self.metrics.retried(why);
         log::info!(
-            event = "retry", id = incoming.job.log_id(), why = why, node = node.as_str(),
+            event = "retry", id = incoming.job.log_id(), content:% = incoming.job.content, why = why, node = node.as_str(),
             sent = attempts.sent_count, left_ms = incoming.deadline.since(clock::now()).as_millis() as u64; ""
         );
         attempts.tried_nodes.push(node);
@@ -191,7 +191,7 @@
         let job = &incoming.job;
         let view = self.board.view();
         log::info!(
-            event = "not_served", id = job.log_id(), why = why, status = status.as_u16(),
+            event = "not_served", id = job.log_id(), content:% = job.content, why = why, status = status.as_u16(),
             route = job.route.as_str(), service = job.service.as_str(), sent = sent,
             key = job.key.map_or(-1, i64::from), left_ms = incoming.deadline.since(clock::now()).as_millis() as u64,
             config = view.intent.config.as_ref().map_or(0, |config| config.version),
--- a/crates/rack/src/traffic/job.rs
+++ b/crates/rack/src/traffic/job.rs
@@ -5,9 +5,11 @@
 use http::HeaderValue;
 use http::Method;
 use http::Uri;
+use http::header::HOST;
 use quetzalrack_core::ids::RouteName;
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ContentDigest;
 use quetzalrack_mesh::model::RequestKind;
 
 /// A request, read to its end, together with the settings of its route.
@@ -20,6 +22,8 @@
     pub(super) body: Bytes,
     /// The id that the client sent for this attempt.
     pub(super) id: Option<HeaderValue>,
+    /// The digest of what the request asks for.
+    pub(super) content: ContentDigest,
     /// The sharding key, if the service is divided by key.
     pub(super) key: Option<u16>,
     /// The service that is to handle the request.
@@ -38,6 +42,32 @@
 }
 
 impl Job {
+    /// Digests what a request asks for. Left out is what differs between the attempts of one client, its id
+    /// and deadline, and every header that servers need not heed.
+    pub(super) fn digest_content(
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        key: Option<u16>,
+        body: &Bytes,
+    ) -> ContentDigest {
+        let host = headers.get(HOST).map(HeaderValue::as_bytes);
+        let host = host.unwrap_or_default().to_ascii_lowercase();
+        let path = uri.path_and_query().map_or("/", |path| path.as_str());
+        let key = key.map_or([0; 3], |key| {
+            let [high, low] = key.to_be_bytes();
+            [1, high, low]
+        });
+        let parts = [
+            method.as_str().as_bytes(),
+            &host,
+            path.as_bytes(),
+            &key,
+            body,
+        ];
+        ContentDigest::of(parts)
+    }
+
     /// Returns the attempt's id for the log; "none" if the client sent none.
     pub(super) fn log_id(&self) -> &str {
         self.id
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -4,6 +4,7 @@
 mod dial;
 mod link_pacer;
 mod listen;
+mod open_connections;
 mod paced_stream;
 mod pool;
 mod request_scanner;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -17,12 +17,12 @@
 use quetzalrack_core::time::Moment;
 use tokio::task::AbortHandle;
 
-use super::ActiveCounter;
 use super::LinkPacer;
 use super::PacedStream;
 use super::WriteLimiter;
 use super::dial::DialError;
 use super::dial::dial;
+use super::open_connections::OpenConnections;
 use crate::clock;
 
 /// How often the pool is checked for an idle connection while all are in use.
@@ -58,7 +58,7 @@
     pacer: Option<Rc<LinkPacer>>,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleEntry>>>,
     opened_count: RefCell<u64>,
-    open: ActiveCounter,
+    open: OpenConnections,
 }
 
 #[derive(Debug)]
@@ -111,7 +111,7 @@
             pacer,
             idle: RefCell::default(),
             opened_count: RefCell::default(),
-            open: ActiveCounter::default(),
+            open: OpenConnections::default(),
         })
     }
 
@@ -232,6 +232,11 @@
         self.open.count() > 0
     }
 
+    /// Returns whether a connection that was opened before a moment is open, idle or in use.
+    pub(crate) fn is_connected_since(&self, moment: Moment) -> bool {
+        self.open.has_older(moment)
+    }
+
     /// Closes all idle connections to an address.
     pub(crate) fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -285,14 +290,15 @@
         *self.opened_count.borrow_mut() += 1;
         let stream = PacedStream::new(stream, self.pacer.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let open = self.open.enter();
+        let opened_at = clock::now();
+        let open = self.open.enter(opened_at);
         // The sender reports when the connection ends.
         let task = tokio::task::spawn_local(async move {
             connection.await.ok();
             drop(open);
         });
         Ok(Connection {
-            opened_at: clock::now(),
+            opened_at,
             sender,
             task: task.abort_handle(),
         })
