--- a/crates/core/src/traffic/poison/mod.rs
+++ b/crates/core/src/traffic/poison/mod.rs
@@ -2,12 +2,27 @@
 //!
 //! See `docs/design/poison-requests.md`.
 
+mod answered_contents;
 mod content_digest;
+mod poison_guard;
+mod server_end;
 mod server_life;
 mod server_watch;
+mod suspect_record;
+mod suspect_table;
+mod suspicion;
 
+pub use answered_contents::AnsweredContents;
 pub use content_digest::ContentDigest;
+pub use poison_guard::PoisonGuard;
+pub use poison_guard::TrialVerdict;
+pub use server_end::ParseServerEndError;
+pub use server_end::ServerEnd;
+pub use server_end::Witness;
 pub use server_life::ServerLife;
 pub use server_watch::RunId;
 pub use server_watch::RunningRequest;
 pub use server_watch::ServerWatch;
+pub use suspect_record::SuspectRecord;
+pub use suspect_table::SuspectTable;
+pub use suspicion::Suspicion;
--- /dev/null
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -0,0 +1,161 @@
+//! Keeps requests under which servers end from taking one server after the other.
+
+use super::AnsweredContents;
+use super::ContentDigest;
+use super::RunId;
+use super::RunningRequest;
+use super::ServerEnd;
+use super::ServerLife;
+use super::ServerWatch;
+use super::SuspectRecord;
+use super::SuspectTable;
+use super::Suspicion;
+use super::Witness;
+use crate::ids::RouteName;
+use crate::time::Moment;
+
+/// Whether a request may be sent to the backend server now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialVerdict {
+    /// It may.
+    Send,
+    /// Another suspect is under way there.
+    Wait,
+    /// It may not: servers end under it.
+    Refuse {
+        /// Whether the nodes beside the servers have seen the ends.
+        certain: bool,
+    },
+}
+
+/// One node's knowledge of suspected contents, and of what is under way at the server beside it.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonGuard {
+    table: SuspectTable,
+    watch: ServerWatch,
+    answered: AnsweredContents,
+}
+
+impl PoisonGuard {
+    /// Returns the table of suspected contents.
+    pub fn table(&self) -> &SuspectTable {
+        &self.table
+    }
+
+    /// Returns how strongly a content is suspected.
+    pub fn suspicion(&self, content: &ContentDigest) -> Suspicion {
+        self.table.suspicion(content)
+    }
+
+    /// Decides whether a request may be sent to the server beside this node.
+    ///
+    /// The innocent that were under way with a guilty one must not be retried together with it again: before
+    /// the end that convicts, a suspect has no other such suspect beside it.
+    pub fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
+        let suspicion = self.table.suspicion(content);
+        let is_under_way = || self.watch.copies(content) > 0;
+        let is_crowded = || {
+            let mut others = self.watch.contents();
+            others.any(|other| self.table.suspicion(other).is_last_trial())
+        };
+        match suspicion {
+            Suspicion::None => TrialVerdict::Send,
+            Suspicion::Poison { certain } => TrialVerdict::Refuse { certain },
+            Suspicion::Suspected { .. } if is_under_way() => TrialVerdict::Wait,
+            last if last.is_last_trial() && is_crowded() => TrialVerdict::Wait,
+            Suspicion::Suspected { .. } => TrialVerdict::Send,
+        }
+    }
+
+    /// Records that a request is about to be written to a server.
+    pub fn begin(&mut self, server: ServerLife, content: ContentDigest, route: RouteName) -> RunId {
+        self.watch.begin(RunningRequest {
+            server,
+            content,
+            route,
+            known: self.table.ends(&content).to_vec(),
+            is_last_trial: self.table.suspicion(&content).is_last_trial(),
+            ended: false,
+        })
+    }
+
+    /// Records that a server answered a request; returns news for the other nodes.
+    pub fn record_answer(&mut self, now: Moment, run: RunId) -> Vec<SuspectRecord> {
+        let Some(request) = self.watch.remove(run) else {
+            return Vec::new();
+        };
+        self.answered.insert(request.content);
+        if request.ended {
+            // The server answered this one before it ended, so it ended under another.
+            let ends = self.table.ends(&request.content).iter();
+            let same = ends.filter(|end| end.server == request.server);
+            let same: Vec<ServerEnd> = same.copied().collect();
+            let cleared = self.table.clear(now, &request.content, &same);
+            return self.records(cleared.then_some(request.content).into_iter().collect());
+        }
+        let mut changed = self.table.retract(now, request.server, Witness::Beside);
+        if self.table.clear(now, &request.content, &request.known) {
+            changed.push(request.content);
+        }
+        self.records(changed)
+    }
+
+    /// Records that a server certainly did not run a request.
+    pub fn record_not_run(&mut self, run: RunId) {
+        self.watch.remove(run);
+    }
+
+    /// Records that nobody waits for the answer to a request any more.
+    pub fn record_cancelled(&mut self, now: Moment, run: RunId) {
+        self.watch.cancelled(now, run);
+    }
+
+    /// Records the end of the server beside this node; returns what was under way there.
+    pub fn record_end(&mut self, now: Moment, server: ServerLife) -> Vec<RunningRequest> {
+        let ended = self.watch.end(now, server);
+        for request in &ended {
+            let content = request.content;
+            let answered_before = !request.is_last_trial && self.answered.contains(&content);
+            self.table
+                .record_end(now, content, server, Witness::Beside, answered_before);
+        }
+        ended
+    }
+
+    /// Records that the node beside a server was lost with a request, and perhaps the server as well; returns
+    /// whether that is news. Requests that were answered before are not suspected for it.
+    pub fn record_lost(&mut self, now: Moment, content: ContentDigest, server: ServerLife) -> bool {
+        !self.answered.contains(&content)
+            && self
+                .table
+                .record_end(now, content, server, Witness::Sender, false)
+    }
+
+    /// Records that a request was answered by way of another node.
+    pub fn record_answer_elsewhere(&mut self, content: ContentDigest) {
+        self.answered.insert(content);
+    }
+
+    /// Takes back what [`Self::record_lost`] recorded, since the server is alive or the node beside it knows
+    /// better; returns news for the other nodes.
+    pub fn retract_lost(&mut self, now: Moment, server: ServerLife) -> Vec<SuspectRecord> {
+        let changed = self.table.retract(now, server, Witness::Sender);
+        self.records(changed)
+    }
+
+    /// Merges what another node knows; returns whether that is news.
+    pub fn merge(&mut self, now: Moment, content: ContentDigest, ends: &[ServerEnd]) -> bool {
+        self.table.merge(now, content, ends)
+    }
+
+    /// Forgets what is old.
+    pub fn expire(&mut self, now: Moment) {
+        self.table.expire(now);
+    }
+
+    /// Returns what is known of these contents.
+    pub fn records(&self, contents: Vec<ContentDigest>) -> Vec<SuspectRecord> {
+        let records = contents.iter().map(|content| self.table.record(content));
+        records.flatten().collect()
+    }
+}
--- a/crates/core/src/traffic/poison/server_watch.rs
+++ b/crates/core/src/traffic/poison/server_watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::ContentDigest;
+use super::ServerEnd;
 use super::ServerLife;
 use crate::ids::RouteName;
 use crate::time::Moment;
@@ -26,8 +27,12 @@
     pub content: ContentDigest,
     /// Its route.
     pub route: RouteName,
-    /// Whether the content had been answered before, as far as the sender knows.
-    pub answered_before: bool,
+    /// The ends of servers under its content that were known when it was sent.
+    pub known: Vec<ServerEnd>,
+    /// Whether it is the only suspect at the server, so that the server's end convicts.
+    pub is_last_trial: bool,
+    /// Whether the server has ended under it.
+    pub ended: bool,
 }
 
 /// Tracks the requests that were written to one host's backend server and are not answered.
@@ -48,9 +53,9 @@
         run
     }
 
-    /// Records that the server answered a request, or certainly did not run it.
-    pub fn answered(&mut self, run: RunId) {
-        self.running.remove(&run);
+    /// Removes a request that the server answered, or certainly did not run.
+    pub fn remove(&mut self, run: RunId) -> Option<RunningRequest> {
+        self.running.remove(&run)
     }
 
     /// Records that nobody waits for the answer to a request any more.
@@ -60,7 +65,7 @@
         };
         self.cancelled
             .retain(|(since, _)| now.since(*since) < CANCELLED_TIME);
-        if self.cancelled.len() < MAX_CANCELLED {
+        if !request.ended && self.cancelled.len() < MAX_CANCELLED {
             self.cancelled.push((now, request));
         }
     }
--- a/crates/mesh/src/model/server_id.rs
+++ b/crates/mesh/src/model/server_id.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use quetzalrack_core::traffic::poison::ServerLife;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -23,6 +24,13 @@
     pub started_ms: u64,
 }
 
+impl ServerIncarnation {
+    /// Returns the identity by which nodes tell each other of the incarnation's end.
+    pub fn life(&self) -> ServerLife {
+        ServerLife::of(&self.id.0, self.started_ms)
+    }
+}
+
 impl fmt::Display for ServerId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/crates/mesh/src/ownership/directory.rs
+++ b/crates/mesh/src/ownership/directory.rs
@@ -123,6 +123,12 @@
 }
 
 impl DirectoryEntry {
+    /// Returns whether the node's server takes new requests, as far as the leader knows.
+    pub fn is_open(&self) -> bool {
+        let server = self.member.server.as_ref();
+        self.responsive && !self.member.leaving && server.is_some_and(|server| !server.draining)
+    }
+
     fn digest(&self) -> MemberDigest {
         MemberDigest::of(&self.member, self.responsive)
     }
--- a/crates/mesh/src/traffic/balancing/load_balancer.rs
+++ b/crates/mesh/src/traffic/balancing/load_balancer.rs
@@ -67,7 +67,7 @@
         tried: &[NodeName],
     ) -> Option<NodeName> {
         let usable = directory.members.iter().filter(|(name, entry)| {
-            entry.member.service == *service && is_open(entry) && !tried.contains(name)
+            entry.member.service == *service && entry.is_open() && !tried.contains(name)
         });
         let large = self.sizes.large(route).is_some();
         let mut best: Option<(f64, &NodeName)> = None;
@@ -126,11 +126,6 @@
     }
 }
 
-fn is_open(entry: &DirectoryEntry) -> bool {
-    let server = entry.member.server.as_ref();
-    entry.responsive && !entry.member.leaving && server.is_some_and(|server| !server.draining)
-}
-
 fn link_cost(
     now: Moment,
     zone: &ZoneName,
--- a/crates/mesh/src/traffic/mod.rs
+++ b/crates/mesh/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 pub mod owner_wait;
 mod refusal_reason;
 pub mod retry;
+pub mod suspects;
 
 pub use key_counter::KeyCounter;
 pub use owner_hint::OwnerHint;
--- a/crates/mesh/src/traffic/refusal_reason.rs
+++ b/crates/mesh/src/traffic/refusal_reason.rs
@@ -23,6 +23,10 @@
     ServerRefused,
     /// No connection to the backend server could be made.
     Unreachable,
+    /// Servers have ended under requests of this content, and it is being tried at one.
+    Suspected,
+    /// Three servers have ended under requests of this content.
+    Poison,
     /// The node that the request was sent to is unreachable or shutting down.
     NodeAway,
 }
@@ -34,7 +38,7 @@
 pub struct ParseRefusalReasonError(String);
 
 impl RefusalReason {
-    const ALL: [(Self, &'static str); 9] = [
+    const ALL: [(Self, &'static str); 11] = [
         (Self::NoServer, "no_server"),
         (Self::NoDocument, "no_document"),
         (Self::Draining, "draining"),
@@ -43,6 +47,8 @@
         (Self::Expired, "expired"),
         (Self::ServerRefused, "server_refused"),
         (Self::Unreachable, "unreachable"),
+        (Self::Suspected, "suspected"),
+        (Self::Poison, "poison"),
         (Self::NodeAway, "node_away"),
     ];
 
--- /dev/null
+++ b/crates/mesh/src/traffic/suspects/lost_hops.rs
@@ -0,0 +1,122 @@
+//! Requests that were lost together with the node they were sent to.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::time::Moment;
+
+use crate::model::ServerIncarnation;
+use crate::ownership::Directory;
+use crate::ownership::Member;
+
+/// How many are remembered.
+const MAX_LOST: usize = 256;
+/// How long one is remembered.
+const MEMORY_TIME: Duration = Duration::from_secs(60);
+/// How long after the loss the directory is asked whether the node lives: a leader takes that long to notice
+/// that it does not.
+const NOTICE_TIME: Duration = Duration::from_secs(3);
+
+/// A request that was lost with a node, which then could not say whether its server ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostHop {
+    /// The node.
+    pub node: NodeName,
+    /// What told this run of the node's process from others.
+    pub nonce: u64,
+    /// The server beside it.
+    pub server: ServerIncarnation,
+    /// When it was lost.
+    pub at: Moment,
+}
+
+/// Finds out afterwards which servers did not end.
+#[derive(Clone, Debug, Default)]
+pub struct LostHops {
+    lost: VecDeque<LostHop>,
+}
+
+/// What the directory tells of a lost hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Unknown,
+    /// The node beside the server will have noticed, or the server runs.
+    NotLost,
+    /// Another server runs there.
+    Ended,
+}
+
+impl LostHops {
+    /// Records a loss.
+    pub fn record(&mut self, lost: LostHop) {
+        let same = |other: &LostHop| (&other.node, &other.server) == (&lost.node, &lost.server);
+        if self.lost.iter().any(same) {
+            return;
+        }
+        if self.lost.len() >= MAX_LOST {
+            self.lost.pop_front();
+        }
+        self.lost.push_back(lost);
+    }
+
+    /// Records that a node has responded; returns the servers beside it that are not lost by this node's word.
+    pub fn record_contact(
+        &mut self,
+        node: &NodeName,
+        directory: &Directory,
+    ) -> Vec<ServerIncarnation> {
+        let Some(entry) = directory.members.get(node) else {
+            return Vec::new();
+        };
+        let nonce = entry.member.incarnation.nonce;
+        let mut found = Vec::new();
+        self.lost.retain(|lost| {
+            let is_same_process = lost.node == *node && lost.nonce == nonce;
+            if is_same_process {
+                found.push(lost.server.clone());
+            }
+            !is_same_process
+        });
+        found
+    }
+
+    /// Looks the lost nodes up in the directory; returns the servers that did not end.
+    pub fn resolve(&mut self, now: Moment, directory: &Directory) -> Vec<ServerIncarnation> {
+        let mut found = Vec::new();
+        self.lost.retain(|lost| match fate(now, lost, directory) {
+            Fate::Unknown => now.since(lost.at) < MEMORY_TIME,
+            Fate::Ended => false,
+            Fate::NotLost => {
+                found.push(lost.server.clone());
+                false
+            }
+        });
+        found
+    }
+}
+
+fn fate(now: Moment, lost: &LostHop, directory: &Directory) -> Fate {
+    let Some(entry) = directory.members.get(&lost.node) else {
+        return Fate::Unknown;
+    };
+    let Member {
+        incarnation,
+        server,
+        ..
+    } = &entry.member;
+    let is_same_process = incarnation.nonce == lost.nonce;
+    if is_same_process {
+        let is_alive = entry.responsive && now.since(lost.at) >= NOTICE_TIME;
+        return if is_alive {
+            Fate::NotLost
+        } else {
+            Fate::Unknown
+        };
+    }
+    match server {
+        None => Fate::Unknown,
+        Some(server) if server.incarnation == lost.server => Fate::NotLost,
+        Some(_) => Fate::Ended,
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/traffic/suspects/suspect_news.rs
@@ -0,0 +1,16 @@
+//! The message by which nodes tell each other of suspected contents.
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::traffic::poison::SuspectRecord;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a node knows of some contents.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct SuspectNews {
+    /// The contents.
+    pub records: Vec<SuspectRecord>,
+    /// The nodes to which the receiver passes this on.
+    pub relay: Vec<NodeName>,
+}
--- a/crates/rack/src/metrics/metrics_page.rs
+++ b/crates/rack/src/metrics/metrics_page.rs
@@ -62,6 +62,24 @@
         self.add("ingress_retries_total", &label("why", why));
     }
 
+    /// Counts a response to a client whose request is not sent any more since servers end under its content.
+    pub fn refused_poison(&self, route: &str) {
+        self.add("ingress_poison_refused_total", &label("route", route));
+    }
+
+    /// Counts an end of the backend server under requests.
+    pub fn server_ended(&self) {
+        self.add("server_ends_total", "");
+    }
+
+    /// Sets the number of contents under which servers have ended.
+    pub fn set_suspects(&self, suspects: usize) {
+        let mut counts = self.counts();
+        counts
+            .counters
+            .insert("suspected_contents".to_owned(), suspects as u64);
+    }
+
     /// Counts a heartbeat of the backend server by its answer.
     pub fn heartbeat(&self, answer: &str) {
         self.add("server_heartbeats_total", &label("answer", answer));
--- a/crates/rack/src/shared/node_view.rs
+++ b/crates/rack/src/shared/node_view.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::OperatorsIntent;
 use quetzalrack_mesh::ownership::Directory;
@@ -25,3 +26,12 @@
     /// Whether the node is shutting down.
     pub shutting_down: bool,
 }
+
+impl NodeView {
+    /// Returns whether a service is known to be divided by key.
+    pub fn is_keyed(&self, service: &ServiceName) -> bool {
+        let config = self.intent.config.as_ref();
+        let service = config.and_then(|config| config.services.get(service));
+        service.is_some_and(|service| service.keyed)
+    }
+}
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::ids::ZoneName;
 use quetzalrack_core::time::Moment;
-use quetzalrack_core::traffic::poison::ServerWatch;
+use quetzalrack_core::traffic::poison::TrialVerdict;
+use quetzalrack_mesh::model::HostSettings;
 use quetzalrack_mesh::model::KeyRange;
-use quetzalrack_mesh::model::LinkRate;
 use quetzalrack_mesh::model::PlatformBounds;
 use quetzalrack_mesh::model::ServerIncarnation;
 use quetzalrack_mesh::model::ServerNotice;
@@ -26,8 +27,10 @@
 use tokio::sync::Notify;
 
 use super::admission_queue::AdmissionQueue;
+use super::admission_queue::Slot;
 use super::server_client::EndSign;
 use super::server_client::ServerClient;
+use super::trials::poison_refusal;
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::shared::Board;
@@ -38,6 +41,7 @@
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::LostReason;
 use crate::traffic::outcome::Outcome;
+use crate::traffic::suspects::Suspects;
 use crate::traffic::wire::ActiveCounter;
 
 /// When a caller may retry if the backend server here is not usable.
@@ -53,6 +57,7 @@
 pub(in crate::traffic) struct Egress {
     pub(super) board: Arc<Board>,
     pub(super) metrics: Arc<Metrics>,
+    pub(super) node_name: NodeName,
     service: ServiceName,
     zone: ZoneName,
     bounds: PlatformBounds,
@@ -67,8 +72,7 @@
     pub(super) notices: RefCell<NoticeTracker>,
     /// The last header of the server that could not be used.
     pub(super) logged_invalid: RefCell<Option<InvalidHeader>>,
-    /// What is under way at the server.
-    pub(super) watch: RefCell<ServerWatch>,
+    pub(super) suspects: Rc<Suspects>,
     /// Notified when a response did not come in time.
     pub(super) timed_out: Notify,
     running: ActiveCounter,
@@ -79,17 +83,16 @@
     pub(in crate::traffic) fn new(
         board: Arc<Board>,
         metrics: Arc<Metrics>,
-        service: ServiceName,
-        zone: ZoneName,
-        bounds: PlatformBounds,
-        link: Option<LinkRate>,
+        host: &HostSettings,
+        suspects: Rc<Suspects>,
     ) -> Rc<Self> {
         let egress = Rc::new(Self {
             board,
             metrics,
-            service,
-            zone,
-            bounds,
+            node_name: host.node.clone(),
+            service: host.service.clone(),
+            zone: host.zone.clone(),
+            bounds: host.bounds,
             client: ServerClient::new(),
             queue: Rc::default(),
             key_counter: RefCell::default(),
@@ -99,13 +102,13 @@
             incarnation: RefCell::default(),
             notices: RefCell::default(),
             logged_invalid: RefCell::default(),
-            watch: RefCell::default(),
+            suspects,
             timed_out: Notify::new(),
             running: ActiveCounter::default(),
             closed: Cell::default(),
         });
         egress.queue.update(|admission| {
-            admission.set_link(link);
+            admission.set_link(host.link);
             admission.cold_limiter().block_first_window(clock::now());
             admission.set_started(clock::now());
         });
@@ -138,6 +141,7 @@
             load: Some(self.load()),
             owner,
             notice,
+            ends: self.suspects.ends(&job.content),
         }
     }
 
@@ -190,7 +194,7 @@
                 .borrow_mut()
                 .count(key, self.queue.service_time(&job.route));
         }
-        let mut slot = match self.queue.acquire(job).await {
+        let mut slot = match self.acquire_slot(job).await {
             Ok(slot) => slot,
             Err((reason, retry_after)) => return Outcome::NotRun(reason, retry_after),
         };
@@ -203,6 +207,7 @@
         };
         let sent = clock::now();
         let run = self.begin_run(&server.incarnation, job);
+        let may_write = || !self.suspects.suspicion(&job.content).is_poison();
         let (outcome, feedback) = self
             .client
             .send(
@@ -210,10 +215,12 @@
                 &server.incarnation.id,
                 job,
                 self.queue.as_ref(),
+                &may_write,
             )
             .await;
         match outcome {
-            Outcome::Answered(_) | Outcome::NotRun(..) => run.answered(),
+            Outcome::Answered(_) => run.answered(),
+            Outcome::NotRun(..) => run.not_run(),
             Outcome::Lost(LostReason::TimedOut) => self.timed_out.notify_one(),
             Outcome::Lost(_) if feedback.broke => {
                 let (address, incarnation) = (server.address, &server.incarnation);
@@ -236,6 +243,20 @@
         outcome
     }
 
+    /// Waits for a slot at the server. A request whose content is suspected takes none while it has to wait for
+    /// another suspect.
+    async fn acquire_slot(&self, job: &Job) -> Result<Slot, (RefusalReason, Duration)> {
+        loop {
+            self.wait_for_trial(job).await?;
+            let slot = self.queue.acquire(job).await?;
+            match self.suspects.try_send(&job.content) {
+                TrialVerdict::Send => return Ok(slot),
+                TrialVerdict::Wait => {}
+                TrialVerdict::Refuse { certain } => return Err(poison_refusal(certain)),
+            }
+        }
+    }
+
     /// Returns the server if it may be sent the job now.
     fn usable_server<'a>(
         &self,
@@ -258,16 +279,11 @@
         if server.draining || leaving || view.intent.evacuated.contains(&self.zone) {
             return Err(RefusalReason::Draining);
         }
-        let service = view
-            .intent
-            .config
-            .as_ref()
-            .and_then(|config| config.services.get(&self.service));
         match job.key {
             // Whether the service is divided by key, and so whether the server may run the job, is
             // known only from the document.
             Some(_) if view.intent.config.is_none() => Err(RefusalReason::NoDocument),
-            Some(key) if service.is_some_and(|service| service.keyed) => {
+            Some(key) if view.is_keyed(&self.service) => {
                 let holds = server.holds(clock::now(), key);
                 holds.then_some(server).ok_or(RefusalReason::NotOwner)
             }
@@ -327,7 +343,7 @@
         }
     }
 
-    fn load(&self) -> NodeLoad {
+    pub(super) fn load(&self) -> NodeLoad {
         let (running, waiting) = self.queue.request_counts();
         let view = self.board.view();
         let slots = self.queue.query(|admission| admission.effective_slots());
--- a/crates/rack/src/traffic/egress/mod.rs
+++ b/crates/rack/src/traffic/egress/mod.rs
@@ -7,5 +7,7 @@
 mod server_client;
 mod server_end;
 mod server_notices;
+mod trials;
 
 pub(super) use egress_node::Egress;
+pub(super) use trials::poison_refusal;
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -22,7 +22,9 @@
 use quetzalrack_platform::request::ResponseHeaders;
 use quetzalrack_platform::request::ServerRequestHeaders;
 use quetzalrack_platform::request::set_server_headers;
+use tokio::sync::Notify;
 
+use super::trials::poison_refusal;
 use crate::clock;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::LostReason;
@@ -58,6 +60,8 @@
 /// How many unknown header names are logged, as a server may make them up.
 const MAX_LOGGED_HEADERS: usize = 32;
 
+/// How long a request that must not be written is held until its sending is given up.
+const REFUSED_WAIT: Duration = Duration::from_millis(5);
 /// How long the other connections to the server are given to break as well: those of a server that has ended
 /// break together.
 const BREAK_SPREAD: Duration = Duration::from_millis(1);
@@ -110,15 +114,19 @@
 /// sent.
 struct TrackedLimiter<'a> {
     limiter: &'a dyn WriteLimiter,
+    may_write: &'a dyn Fn() -> bool,
     write_allowed: Cell<bool>,
+    /// Notified when the request must not be written any more.
+    refused: Notify,
 }
 
 impl<'a> TrackedLimiter<'a> {
-    fn new(limiter: &'a dyn WriteLimiter) -> Self {
-        let write_allowed = Cell::default();
+    fn new(limiter: &'a dyn WriteLimiter, may_write: &'a dyn Fn() -> bool) -> Self {
         Self {
             limiter,
-            write_allowed,
+            may_write,
+            write_allowed: Cell::default(),
+            refused: Notify::new(),
         }
     }
 
@@ -129,6 +137,10 @@
 
 impl WriteLimiter for TrackedLimiter<'_> {
     fn try_write(&self) -> Option<Duration> {
+        if !(self.may_write)() {
+            self.refused.notify_one();
+            return Some(REFUSED_WAIT);
+        }
         let wait = self.limiter.try_write();
         self.write_allowed
             .set(self.write_allowed.get() || wait.is_none());
@@ -203,13 +215,14 @@
         self.pool.opened_count()
     }
 
-    /// Sends a job and returns its outcome.
+    /// Sends a job and returns its outcome; `may_write` tells right before it is written whether it still may be.
     pub(super) async fn send(
         &self,
         address: SocketAddr,
         server: &ServerId,
         job: &Job,
         limiter: &dyn WriteLimiter,
+        may_write: &dyn Fn() -> bool,
     ) -> (Outcome, Feedback) {
         let now = clock::now();
         let timeout = job.deadline.since(now);
@@ -225,9 +238,17 @@
             let headers = ResponseHeaders::read(response.status(), response.headers());
             headers.id == job.id && !headers.closes
         };
-        let limiter = TrackedLimiter::new(limiter);
+        let limiter = TrackedLimiter::new(limiter, may_write);
         let exchange = self.pool.exchange(address, request, idle, &limiter, keep);
-        match tokio::time::timeout(timeout, exchange).await {
+        let exchanged = tokio::select! {
+            biased;
+            () = limiter.refused.notified() => {
+                let (reason, retry_after) = poison_refusal(true);
+                return (Outcome::NotRun(reason, retry_after), Feedback::default());
+            }
+            exchanged = tokio::time::timeout(timeout, exchange) => exchanged,
+        };
+        match exchanged {
             Ok(Ok(response)) => {
                 self.refused_at.set(None);
                 self.classify_response(address, job, response)
--- a/crates/rack/src/traffic/egress/server_end.rs
+++ b/crates/rack/src/traffic/egress/server_end.rs
@@ -5,8 +5,6 @@
 
 use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::RunId;
-use quetzalrack_core::traffic::poison::RunningRequest;
-use quetzalrack_core::traffic::poison::ServerLife;
 use quetzalrack_mesh::model::ServerIncarnation;
 
 use super::Egress;
@@ -25,28 +23,27 @@
 }
 
 impl RunGuard<'_> {
-    /// Records that the server responded, or certainly did not run the request.
+    /// Records that the server responded.
     pub(super) fn answered(self) {
-        self.egress.watch.borrow_mut().answered(self.id);
+        self.egress.suspects.record_answer(self.id);
+    }
+
+    /// Records that the server certainly did not run the request.
+    pub(super) fn not_run(self) {
+        self.egress.suspects.record_not_run(self.id);
     }
 }
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        let mut watch = self.egress.watch.borrow_mut();
-        watch.cancelled(clock::now(), self.id);
+        self.egress.suspects.record_cancelled(self.id);
     }
 }
 
 impl Egress {
     /// Records that a job is about to be sent to the server.
     pub(super) fn begin_run(&self, server: &ServerIncarnation, job: &Job) -> RunGuard<'_> {
-        let id = self.watch.borrow_mut().begin(RunningRequest {
-            server: life_of(server),
-            content: job.content,
-            route: job.route.clone(),
-            answered_before: false,
-        });
+        let id = self.suspects.begin(server, job.content, job.route.clone());
         RunGuard { egress: self, id }
     }
 
@@ -81,20 +78,16 @@
 
     /// Records the end of a server.
     pub(super) fn record_end(&self, server: &ServerIncarnation, sign: EndSign) {
-        let ended = self.watch.borrow_mut().end(clock::now(), life_of(server));
+        let ended = self.suspects.record_end(server);
         if ended.is_empty() {
             return;
         }
+        self.metrics.server_ended();
         let named = ended.iter().take(MAX_LOGGED_CONTENTS);
         let under: Vec<String> = named.map(|request| request.content.to_string()).collect();
         log::warn!(
-            event = "server_ended", server:% = server, why = sign.name(), requests = ended.len(),
+            event = "server_ended", server:% = server, life:% = server.life(), why = sign.name(), requests = ended.len(),
             under = under.join(" "); ""
         );
     }
 }
-
-/// Returns the identity by which nodes tell each other of an incarnation's end.
-fn life_of(server: &ServerIncarnation) -> ServerLife {
-    ServerLife::of(&server.id.0, server.started_ms)
-}
--- /dev/null
+++ b/crates/rack/src/traffic/egress/trials.rs
@@ -0,0 +1,98 @@
+//! Requests whose content is suspected of ending servers.
+
+use std::time::Duration;
+
+use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::Suspicion;
+use quetzalrack_core::traffic::poison::TrialVerdict;
+use quetzalrack_mesh::model::ServerNotice;
+use quetzalrack_mesh::traffic::RefusalReason;
+use quetzalrack_mesh::traffic::suspects::trial_nodes;
+
+use super::Egress;
+use crate::clock;
+use crate::traffic::job::Job;
+use crate::traffic::outcome::AttemptReport;
+use crate::traffic::outcome::Outcome;
+
+/// When a caller may ask again for a content under which servers end. Until then some operator may have acted.
+const RETRY_AFTER_POISON: Duration = Duration::from_secs(60);
+/// The same as long as the servers may turn out to be alive.
+const RETRY_AFTER_UNCERTAIN: Duration = Duration::from_secs(1);
+/// When a caller may ask again for a content that is being tried.
+const RETRY_AFTER_TRIAL: Duration = Duration::from_millis(300);
+/// The longest wait for another suspect.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(1);
+/// The share of the time left that a request may wait for another suspect.
+const TRIAL_WAIT_SHARE: u32 = 2;
+/// How often the verdict is looked up while nothing seems to change.
+const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Returns the refusal of a content under which servers end.
+pub(in crate::traffic) fn poison_refusal(certain: bool) -> (RefusalReason, Duration) {
+    match certain {
+        true => (RefusalReason::Poison, RETRY_AFTER_POISON),
+        false => (RefusalReason::Poison, RETRY_AFTER_UNCERTAIN),
+    }
+}
+
+impl Egress {
+    /// Serves a job of another node, with what that node knows of the server and of servers that ended under the
+    /// job's content.
+    pub(in crate::traffic) async fn serve_peer(
+        &self,
+        job: &Job,
+        told: Option<&ServerNotice>,
+        ends: &[ServerEnd],
+    ) -> AttemptReport {
+        self.suspects.merge_ends(job.content, ends);
+        if self.is_misplaced_trial(job, ends) {
+            let refusal = Outcome::NotRun(RefusalReason::Suspected, Duration::ZERO);
+            self.record_outcome(job, &refusal);
+            return AttemptReport {
+                load: Some(self.load()),
+                ends: self.suspects.ends(&job.content),
+                ..AttemptReport::new(refusal)
+            };
+        }
+        self.serve(job, told).await
+    }
+
+    /// Waits until the job may be sent as far as its content is concerned.
+    pub(super) async fn wait_for_trial(&self, job: &Job) -> Result<(), (RefusalReason, Duration)> {
+        let start = clock::now();
+        let left = job.deadline.since(start) / TRIAL_WAIT_SHARE;
+        let end = start + MAX_TRIAL_WAIT.min(left);
+        loop {
+            match self.suspects.try_send(&job.content) {
+                TrialVerdict::Send => return Ok(()),
+                TrialVerdict::Refuse { certain } => return Err(poison_refusal(certain)),
+                TrialVerdict::Wait if clock::now() >= end => {
+                    return Err((RefusalReason::Suspected, RETRY_AFTER_TRIAL));
+                }
+                TrialVerdict::Wait => {
+                    tokio::time::timeout(TRIAL_POLL_INTERVAL, self.suspects.changed())
+                        .await
+                        .ok();
+                }
+            }
+        }
+    }
+
+    /// Returns whether a node that knows fewer ends than this one chose this server for a content that is to be
+    /// tried at others.
+    fn is_misplaced_trial(&self, job: &Job, ends: &[ServerEnd]) -> bool {
+        let Suspicion::Suspected { servers } = self.suspects.suspicion(&job.content) else {
+            return false;
+        };
+        let view = self.board.view();
+        let is_owned = job.key.is_some() && view.is_keyed(&job.service);
+        if is_owned || self.suspects.is_covered(&job.content, ends) {
+            return false;
+        }
+        let known = self.suspects.ends(&job.content);
+        let nodes = trial_nodes(&view.directory, &job.service, &job.content, &known);
+        let mut first = nodes.into_iter().take(servers);
+        !first.any(|node| *node == self.node_name)
+    }
+}
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -4,15 +4,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::Uri;
 use http_body_util::Full;
+use quetzalrack_core::traffic::poison::ServerEnd;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_mesh::traffic::RefusalReason;
+use quetzalrack_mesh::traffic::suspects::SuspectNews;
 
 use super::INTENT_PATH;
+use super::SUSPECTS_PATH;
 use super::hop_request;
 use super::hop_response;
 use crate::clock;
@@ -35,6 +39,8 @@
     idle_timeout: Duration::from_secs(20),
     max_idle: 16,
 };
+/// How long the exchange of news about suspected requests may take.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a reachability probe waits for its connection. A busy node may be slow to accept it,
 /// and giving it up would lose the requests it works on.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -87,16 +93,71 @@
         tokio::time::timeout(PROBE_TIMEOUT, exchange).await.ok();
     }
 
-    /// Sends a job to the node at `address`, with what is known of the server there, and returns its
-    /// report.
+    /// Tells a node of suspected requests; returns whether it confirms that.
+    pub(in crate::traffic) async fn send_suspects(
+        &self,
+        address: SocketAddr,
+        news: &SuspectNews,
+    ) -> bool {
+        let body = match postcard::to_allocvec(news) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!(event = "suspects_not_written"; "{error}");
+                return false;
+            }
+        };
+        let response = self.exchange_news(address, Method::POST, body.into()).await;
+        response.is_some()
+    }
+
+    /// Asks a node for all suspected requests that it knows.
+    pub(in crate::traffic) async fn fetch_suspects(
+        &self,
+        address: SocketAddr,
+    ) -> Option<SuspectNews> {
+        let body = self
+            .exchange_news(address, Method::GET, Bytes::new())
+            .await?;
+        match postcard::from_bytes(&body) {
+            Ok(news) => Some(news),
+            Err(error) => {
+                log::warn!(event = "suspects_unreadable"; "{error}");
+                None
+            }
+        }
+    }
+
+    async fn exchange_news(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        body: Bytes,
+    ) -> Option<Bytes> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = Uri::from_static(SUSPECTS_PATH);
+        let idle = POOL_LIMITS.idle_timeout;
+        let exchange = self
+            .pool
+            .exchange(address, request, idle, &Unlimited, |_| true);
+        let response = tokio::time::timeout(NEWS_TIMEOUT, exchange)
+            .await
+            .ok()?
+            .ok()?;
+        response.status().is_success().then(|| response.into_body())
+    }
+
+    /// Sends a job to the node at `address`, with what is known of the server there and of servers that ended
+    /// under its content, and returns its report.
     pub(in crate::traffic) async fn send(
         &self,
         address: SocketAddr,
         job: &Job,
         told: Option<&ServerNotice>,
+        ends: &[ServerEnd],
     ) -> AttemptReport {
         let now = clock::now();
-        let Some(request) = hop_request::encode(now, job, told) else {
+        let Some(request) = hop_request::encode(now, job, told, ends) else {
             return AttemptReport::new(Outcome::NotRun(RefusalReason::NodeAway, Duration::ZERO));
         };
         let timeout = job.deadline.since(now) + RESPONSE_TRANSIT;
--- a/crates/rack/src/traffic/hop/hop_request.rs
+++ b/crates/rack/src/traffic/hop/hop_request.rs
@@ -8,11 +8,13 @@
 use http::request::Parts;
 use http_body_util::Full;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ServerEnd;
 use quetzalrack_mesh::model::RequestKind;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_platform::request::RequestHeaders;
 
 use super::JOB_HEADER;
+use super::ends_field;
 use super::notice_field;
 use crate::traffic::job::Job;
 
@@ -22,10 +24,11 @@
     now: Moment,
     job: &Job,
     told: Option<&ServerNotice>,
+    ends: &[ServerEnd],
 ) -> Option<Request<Full<Bytes>>> {
     let is_once = job.kind == RequestKind::Once;
     let text = format!(
-        "{} {} {} {} {} {} {}{}",
+        "{} {} {} {} {} {} {}{}{}",
         job.service,
         job.caller,
         job.route,
@@ -34,6 +37,7 @@
         job.objective.since(now).as_millis(),
         job.deadline.since(now).as_millis(),
         notice_field::encode(told),
+        ends_field::encode(ends),
     );
     let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
@@ -45,13 +49,17 @@
     Some(request)
 }
 
-/// Decodes a request of another node, with what that node knows of the server here; returns `None` if it
-/// is malformed.
-pub(super) fn decode(
-    now: Moment,
-    parts: Parts,
-    body: Bytes,
-) -> Option<(Job, Option<ServerNotice>)> {
+/// A job of another node, with what that node knows.
+pub(super) struct DecodedRequest {
+    pub(super) job: Job,
+    /// What it knows of the server here.
+    pub(super) told: Option<ServerNotice>,
+    /// The ends of servers under the job's content that it knows.
+    pub(super) ends: Vec<ServerEnd>,
+}
+
+/// Decodes a request of another node; returns `None` if it is malformed.
+pub(super) fn decode(now: Moment, parts: Parts, body: Bytes) -> Option<DecodedRequest> {
     let mut headers = parts.headers;
     let value = headers.remove(JOB_HEADER)?;
     let mut fields = value.to_str().ok()?.split(' ');
@@ -67,7 +75,15 @@
     let mut time_left = || field()?.parse().ok().map(Duration::from_millis);
     let objective = now + time_left()?;
     let deadline = now + time_left()?;
-    let told = fields.next().and_then(notice_field::decode);
+    let mut told = None;
+    let mut ends = Vec::new();
+    for field in fields {
+        if let Some(notice) = notice_field::decode(field) {
+            told = Some(notice);
+        } else if let Some(known) = ends_field::decode(field) {
+            ends = known;
+        }
+    }
     let client_headers = RequestHeaders::read(&headers);
     let key = client_headers.key;
     let content = Job::digest_content(&parts.method, &parts.uri, &headers, key, &body);
@@ -87,5 +103,5 @@
         objective,
         deadline,
     };
-    Some((job, told))
+    Some(DecodedRequest { job, told, ends })
 }
--- a/crates/rack/src/traffic/hop/hop_response.rs
+++ b/crates/rack/src/traffic/hop/hop_response.rs
@@ -8,8 +8,10 @@
 use http::StatusCode;
 use http_body_util::Full;
 use quetzalrack_mesh::ownership::NodeLoad;
+use quetzalrack_mesh::traffic::RefusalReason;
 
 use super::OUTCOME_HEADER;
+use super::ends_field;
 use super::notice_field;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::Outcome;
@@ -17,6 +19,8 @@
 const ANSWERED: &str = "answered";
 const NOT_RUN: &str = "not_run";
 const LOST: &str = "lost";
+/// The field with a reason that processes of earlier versions don't know; to them the server is full.
+const REASON_PREFIX: &str = "why=";
 
 /// Encodes a report as a response to another node.
 pub(super) fn encode(report: AttemptReport) -> Response<Full<Bytes>> {
@@ -26,19 +30,27 @@
         Outcome::NotRun(reason, retry_after) => {
             let owner = report.owner.map(|owner| format!(" {owner}"));
             let owner = owner.unwrap_or_default();
-            let detail = format!(" {reason} {}{owner}", retry_after.as_millis());
+            let millis = retry_after.as_millis();
+            let detail = match reason {
+                RefusalReason::Suspected | RefusalReason::Poison => {
+                    let known = RefusalReason::Full;
+                    format!(" {known} {millis}{owner} {REASON_PREFIX}{reason}")
+                }
+                reason => format!(" {reason} {millis}{owner}"),
+            };
             (NOT_RUN, detail, empty_response())
         }
         Outcome::Lost(reason) => (LOST, format!(" {reason}"), empty_response()),
     };
     let header = format!(
-        "{kind} {} {} {} {} {}{detail}{}",
+        "{kind} {} {} {} {} {}{detail}{}{}",
         load.requests,
         load.limit,
         load.slowdown_percent,
         load.request_ms,
         load.backlog_ms,
         notice_field::encode(report.notice.as_ref()),
+        ends_field::encode(&report.ends),
     );
     let mut response = response.map(Full::new);
     // All fields are plain ASCII.
@@ -82,6 +94,12 @@
     for field in fields {
         if let Some(notice) = notice_field::decode(field) {
             report.notice = Some(notice);
+        } else if let Some(reason) = field.strip_prefix(REASON_PREFIX) {
+            if let Outcome::NotRun(known, _) = &mut report.outcome {
+                *known = reason.parse().ok()?;
+            }
+        } else if let Some(ends) = ends_field::decode(field) {
+            report.ends = ends;
         } else if let Ok(owner) = field.parse() {
             report.owner = Some(owner);
         }
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -22,7 +22,9 @@
 use tokio::sync::watch;
 
 use super::INTENT_PATH;
+use super::SUSPECTS_PATH;
 use super::hop_request;
+use super::hop_request::DecodedRequest;
 use super::hop_response;
 use crate::accept::accept_all;
 use crate::clock;
@@ -30,6 +32,7 @@
 use crate::traffic::egress::Egress;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::Outcome;
+use crate::traffic::suspects::Suspects;
 use crate::traffic::wire::ActiveCounter;
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::PacedStream;
@@ -42,6 +45,7 @@
 pub(in crate::traffic) struct HopServer {
     pub(in crate::traffic) egress: Rc<Egress>,
     pub(in crate::traffic) board: Arc<Board>,
+    pub(in crate::traffic) suspects: Rc<Suspects>,
     pub(in crate::traffic) pacer: Option<Rc<LinkPacer>>,
     /// Counts the connections of other nodes.
     pub(in crate::traffic) connections: ActiveCounter,
@@ -78,6 +82,10 @@
         if is_intent && request.method() == Method::GET {
             return Ok(self.intent_response());
         }
+        let is_suspects = request.uri().path() == SUSPECTS_PATH;
+        if is_suspects && request.method() == Method::GET {
+            return Ok(self.suspects_response());
+        }
         let (parts, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
             return Ok(bad_request());
@@ -86,15 +94,19 @@
         if is_intent {
             return Ok(self.receive_intent_source(&body));
         }
-        let Some((job, told)) = hop_request::decode(clock::now(), parts, body) else {
+        if is_suspects {
+            return Ok(self.receive_suspects(&body));
+        }
+        let Some(request) = hop_request::decode(clock::now(), parts, body) else {
             return Ok(bad_request());
         };
+        let DecodedRequest { job, told, ends } = request;
         let report = match self.board.is_shutting_down() && self.egress.is_closed() {
             true => AttemptReport::new(Outcome::NotRun(
                 RefusalReason::NodeAway,
                 RETRY_AFTER_SHUTDOWN,
             )),
-            false => self.egress.serve(&job, told.as_ref()).await,
+            false => self.egress.serve_peer(&job, told.as_ref(), &ends).await,
         };
         Ok(hop_response::encode(report))
     }
@@ -113,6 +125,29 @@
         }
     }
 
+    fn receive_suspects(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        match postcard::from_bytes(body) {
+            Ok(news) => {
+                self.suspects.receive(&news);
+                Response::default()
+            }
+            Err(error) => {
+                log::warn!(event = "suspects_unreadable"; "{error}");
+                bad_request()
+            }
+        }
+    }
+
+    fn suspects_response(&self) -> Response<Full<Bytes>> {
+        match postcard::to_allocvec(&self.suspects.all()) {
+            Ok(bytes) => Response::new(Full::new(bytes.into())),
+            Err(error) => {
+                log::error!(event = "suspects_not_written"; "{error}");
+                bad_request()
+            }
+        }
+    }
+
     fn intent_response(&self) -> Response<Full<Bytes>> {
         let view = self.board.view();
         match postcard::to_allocvec(view.intent.as_ref()) {
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -15,6 +15,7 @@
 use quetzalrack_core::ids::RouteName;
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_mesh::model::HostSettings;
 use quetzalrack_mesh::model::Route;
 use quetzalrack_mesh::ownership::Directory;
@@ -38,13 +39,14 @@
 use crate::metrics::Metrics;
 use crate::shared::Board;
 use crate::traffic::egress::Egress;
+use crate::traffic::egress::poison_refusal;
 use crate::traffic::hop::HopClient;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::LostReason;
 use crate::traffic::outcome::Outcome;
+use crate::traffic::suspects::Suspects;
 use crate::traffic::wire::ActiveCounter;
-use crate::traffic::wire::LinkPacer;
 
 /// Interval between lookups of the owner of a key that has none.
 const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -58,8 +60,9 @@
     pub(super) board: Arc<Board>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) egress: Rc<Egress>,
+    pub(super) suspects: Rc<Suspects>,
     hops: Rc<HopClient>,
-    balancer: RefCell<LoadBalancer>,
+    pub(super) balancer: RefCell<LoadBalancer>,
     pub(super) notices: RefCell<PeerNotices>,
     round_robins: RefCell<HashMap<RouteName, WeightedRoundRobin>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -73,7 +76,8 @@
         board: Arc<Board>,
         metrics: Arc<Metrics>,
         egress: Rc<Egress>,
-        pacer: Option<Rc<LinkPacer>>,
+        suspects: Rc<Suspects>,
+        hops: Rc<HopClient>,
         seed: u64,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -83,7 +87,8 @@
             board,
             metrics,
             egress,
-            hops: Rc::new(HopClient::new(pacer)),
+            suspects,
+            hops,
             notices: RefCell::default(),
             round_robins: RefCell::default(),
             budgets: RefCell::default(),
@@ -187,6 +192,10 @@
             if incoming.deadline.since(now) < MIN_ATTEMPT_TIME {
                 break;
             }
+            if let Suspicion::Poison { certain } = self.suspects.suspicion(&job.content) {
+                attempts.last_refusal = poison_refusal(certain);
+                break;
+            }
             let view = self.board.view();
             let leaving = self.leaving_nodes(&view.directory);
             let hinted = attempts.hinted_owner.take();
@@ -194,7 +203,7 @@
                 Some(node) => Placement::Node(node),
                 None => {
                     let tried = &attempts.tried_nodes;
-                    placement::choose_node(now, &view, &self.balancer, job, tried, &leaving)
+                    self.choose_node(now, &view, job, tried, &leaving)
                 }
             };
             let node = match next {
@@ -270,7 +279,10 @@
         };
         self.balancer.borrow_mut().record_sent(node);
         let told = self.notices.borrow().get(node).cloned();
-        let sending = self.hops.send(entry.member.traffic, job, told.as_ref());
+        let ends = self.suspects.ends(&job.content);
+        let sending = self
+            .hops
+            .send(entry.member.traffic, job, told.as_ref(), &ends);
         let report = tokio::select! {
             report = sending => report,
             () = placement::wait_unreachable(&self.board, &self.hops, node) => {
@@ -284,6 +296,7 @@
             let hops = Rc::clone(&self.hops);
             tokio::task::spawn_local(async move { hops.announce_intent_source(to, own).await });
         }
+        self.record_suspects(job, entry, &report);
         if let Some(notice) = report.notice.clone() {
             self.notices.borrow_mut().record(node, notice);
         }
--- a/crates/rack/src/traffic/ingress/mod.rs
+++ b/crates/rack/src/traffic/ingress/mod.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod retrying;
 mod shutdown;
+mod suspect_reports;
 
 pub(super) use client_port::ClientPort;
 pub(super) use ingress_node::Ingress;
--- a/crates/rack/src/traffic/ingress/placement.rs
+++ b/crates/rack/src/traffic/ingress/placement.rs
@@ -1,14 +1,15 @@
 //! Chooses the node for the next attempt of a job.
 
-use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_mesh::ownership::DirectoryEntry;
-use quetzalrack_mesh::traffic::balancing::LoadBalancer;
+use quetzalrack_mesh::traffic::suspects::trial_nodes;
 
+use super::Ingress;
 use crate::shared::Board;
 use crate::shared::NodeView;
 use crate::traffic::hop::HopClient;
@@ -32,31 +33,44 @@
     NoNode,
 }
 
-/// Chooses the node for the next attempt of a job. The owner of a key may have been tried before; a node
-/// whose server is `leaving` gets nothing.
-pub(super) fn choose_node(
-    now: Moment,
-    view: &NodeView,
-    balancer: &RefCell<LoadBalancer>,
-    job: &Job,
-    tried_nodes: &[NodeName],
-    leaving: &[NodeName],
-) -> Placement {
-    let config = view.intent.config.as_ref();
-    let service = config.and_then(|config| config.services.get(&job.service));
-    match job.key {
-        Some(key) if service.is_some_and(|service| service.keyed) => {
-            match view.directory.owner(&job.service, key) {
-                Some(owner) if !leaving.contains(owner) => Placement::Node(owner.clone()),
-                _ => Placement::NoOwner,
+impl Ingress {
+    /// Chooses the node for the next attempt of a job. The owner of a key may have been tried before; a node
+    /// whose server is `leaving` gets nothing.
+    pub(super) fn choose_node(
+        &self,
+        now: Moment,
+        view: &NodeView,
+        job: &Job,
+        tried_nodes: &[NodeName],
+        leaving: &[NodeName],
+    ) -> Placement {
+        match job.key {
+            Some(key) if view.is_keyed(&job.service) => {
+                match view.directory.owner(&job.service, key) {
+                    Some(owner) if !leaving.contains(owner) => Placement::Node(owner.clone()),
+                    _ => Placement::NoOwner,
+                }
+            }
+            _ => {
+                let mut avoided = [tried_nodes, leaving].concat();
+                avoided.extend(self.outside_trial(view, job, &avoided));
+                let mut balancer = self.balancer.borrow_mut();
+                let chosen =
+                    balancer.choose(now, &view.directory, &job.service, &job.route, &avoided);
+                chosen.map_or(Placement::NoNode, Placement::Node)
             }
         }
-        _ => {
-            let mut balancer = balancer.borrow_mut();
-            let avoided = [tried_nodes, leaving].concat();
-            let chosen = balancer.choose(now, &view.directory, &job.service, &job.route, &avoided);
-            chosen.map_or(Placement::NoNode, Placement::Node)
-        }
+    }
+
+    /// Returns the nodes that are not to get a job, since its content is suspected and tried at a few others.
+    fn outside_trial(&self, view: &NodeView, job: &Job, avoided: &[NodeName]) -> Vec<NodeName> {
+        let Suspicion::Suspected { servers } = self.suspects.suspicion(&job.content) else {
+            return Vec::new();
+        };
+        let ends = self.suspects.ends(&job.content);
+        let ranked = trial_nodes(&view.directory, &job.service, &job.content, &ends);
+        let usable = ranked.into_iter().filter(|node| !avoided.contains(node));
+        usable.skip(servers).cloned().collect()
     }
 }
 
--- a/crates/rack/src/traffic/ingress/retrying.rs
+++ b/crates/rack/src/traffic/ingress/retrying.rs
@@ -10,6 +10,7 @@
 
 use super::Ingress;
 use super::attempts::Attempts;
+use super::attempts::RETRY_AFTER_NO_SERVER;
 use super::client_response::empty_response;
 use super::client_response::not_run_response;
 use super::incoming_request::IncomingRequest;
@@ -57,6 +58,15 @@
                 attempts.last_refusal = (reason, retry_after);
                 self.start_retry(incoming, attempts, node, "server_refused")
             }
+            Outcome::NotRun(reason @ RefusalReason::Poison, retry_after) => {
+                attempts.last_refusal = (reason, retry_after);
+                false
+            }
+            Outcome::NotRun(reason @ RefusalReason::Suspected, retry_after) => {
+                attempts.last_refusal = (reason, retry_after.max(RETRY_AFTER_NO_SERVER));
+                attempts.tried_nodes.push(node);
+                !self.has_owner(job) && attempts.tried_nodes.len() < MAX_TRIED_NODES
+            }
             Outcome::NotRun(reason, retry_after) => {
                 attempts.record_refusal(reason, retry_after);
                 if job.key.is_some()
@@ -80,10 +90,7 @@
 
     /// Returns whether only the owner of the job's key may serve it.
     fn has_owner(&self, job: &Job) -> bool {
-        let view = self.board.view();
-        let config = view.intent.config.as_ref();
-        let service = config.and_then(|config| config.services.get(&job.service));
-        job.key.is_some() && service.is_some_and(|service| service.keyed)
+        job.key.is_some() && self.board.view().is_keyed(&job.service)
     }
 
     /// Returns whether a node's server is known to name a rate limit.
@@ -135,7 +142,9 @@
         let in_time = incoming.deadline.since(clock::now()) >= MIN_ATTEMPT_TIME;
         let allowed = attempts.sent_count < incoming.route.attempts && in_time;
         let nodes = self.board.view().directory.members.len();
+        let is_poison = self.suspects.suspicion(&incoming.job.content).is_poison();
         if !allowed
+            || is_poison
             || !self.with_budget(&incoming.job.service, |budget, now| {
                 budget.withdraw(now, nodes)
             })
@@ -177,6 +186,9 @@
             Some(lost) => (lost.name(), empty_response(StatusCode::BAD_GATEWAY)),
             None => (reason.name(), not_run_response(retry_after)),
         };
+        if reason == RefusalReason::Poison {
+            self.metrics.refused_poison(incoming.route.name.as_str());
+        }
         self.log_unserved(incoming, why, response.status(), attempts.sent_count);
         response
     }
@@ -191,7 +203,7 @@
         let job = &incoming.job;
         let view = self.board.view();
         log::info!(
-            event = "not_served", id = job.log_id(), content:% = job.content, why = why, status = status.as_u16(),
+            event = "not_served", id = job.log_id(), content:% = job.content, why = why, status = status.as_u16(), ends = self.suspects.ends_counted(&job.content),
             route = job.route.as_str(), service = job.service.as_str(), sent = sent,
             key = job.key.map_or(-1, i64::from), left_ms = incoming.deadline.since(clock::now()).as_millis() as u64,
             config = view.intent.config.as_ref().map_or(0, |config| config.version),
--- /dev/null
+++ b/crates/rack/src/traffic/ingress/suspect_reports.rs
@@ -0,0 +1,44 @@
+//! What the outcome of an attempt tells of its content.
+
+use quetzalrack_mesh::ownership::DirectoryEntry;
+use quetzalrack_mesh::traffic::suspects::LostHop;
+
+use super::Ingress;
+use crate::clock;
+use crate::traffic::job::Job;
+use crate::traffic::outcome::AttemptReport;
+use crate::traffic::outcome::LostReason;
+use crate::traffic::outcome::Outcome;
+
+impl Ingress {
+    /// Records what another node reports of a job's content, or that it reports nothing.
+    pub(super) fn record_suspects(
+        &self,
+        job: &Job,
+        entry: &DirectoryEntry,
+        report: &AttemptReport,
+    ) {
+        self.suspects.merge_ends(job.content, &report.ends);
+        let node = &entry.member.incarnation.node;
+        if report.load.is_some() {
+            let view = self.board.view();
+            self.suspects.record_contact(node, &view.directory);
+        }
+        match (&report.outcome, &entry.member.server) {
+            (Outcome::Answered(_), _) => self.suspects.record_answer_elsewhere(job.content),
+            // The node was lost with the request, so nobody says whether its server ended.
+            (Outcome::Lost(LostReason::Broken | LostReason::TimedOut), Some(server))
+                if report.load.is_none() =>
+            {
+                let lost = LostHop {
+                    node: node.clone(),
+                    nonce: entry.member.incarnation.nonce,
+                    server: server.incarnation.clone(),
+                    at: clock::now(),
+                };
+                self.suspects.record_lost(job.content, lost);
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/rack/src/traffic/mod.rs
+++ b/crates/rack/src/traffic/mod.rs
@@ -6,6 +6,7 @@
 mod ingress;
 mod job;
 mod outcome;
+mod suspects;
 mod traffic_node;
 pub(crate) mod wire;
 
--- a/crates/rack/src/traffic/outcome.rs
+++ b/crates/rack/src/traffic/outcome.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::Response;
+use quetzalrack_core::traffic::poison::ServerEnd;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_mesh::ownership::NodeLoad;
 use quetzalrack_mesh::traffic::OwnerHint;
@@ -41,6 +42,8 @@
     pub(super) owner: Option<OwnerHint>,
     /// What the node knows of its server, if that is worth telling.
     pub(super) notice: Option<ServerNotice>,
+    /// The ends of servers under the job's content that the node knows.
+    pub(super) ends: Vec<ServerEnd>,
 }
 
 impl AttemptReport {
@@ -51,6 +54,7 @@
             load: None,
             owner: None,
             notice: None,
+            ends: Vec::new(),
         }
     }
 }
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -12,9 +12,12 @@
 use tokio::task::LocalSet;
 
 use super::egress::Egress;
+use super::hop::HopClient;
 use super::hop::HopServer;
 use super::ingress::ClientPort;
 use super::ingress::Ingress;
+use super::suspects::SuspectExchange;
+use super::suspects::Suspects;
 use super::wire::ActiveCounter;
 use super::wire::LinkPacer;
 use super::wire::listen;
@@ -90,20 +93,32 @@
             }
         }
         let pacer = host.link.map(LinkPacer::spawn);
+        let hops = Rc::new(HopClient::new(pacer.clone()));
+        let suspects = Rc::new(Suspects::new(
+            host.node.clone(),
+            Arc::clone(&self.board),
+            Arc::clone(&self.metrics),
+        ));
+        let exchange = SuspectExchange {
+            node_name: host.node.clone(),
+            board: Arc::clone(&self.board),
+            suspects: Rc::clone(&suspects),
+            hops: Rc::clone(&hops),
+        };
+        tokio::task::spawn_local(exchange.run());
         let egress = Egress::new(
             Arc::clone(&self.board),
             Arc::clone(&self.metrics),
-            host.service.clone(),
-            host.zone.clone(),
-            host.bounds,
-            host.link,
+            host,
+            Rc::clone(&suspects),
         );
         let ingress = Ingress::new(
             host.clone(),
             Arc::clone(&self.board),
             Arc::clone(&self.metrics),
             Rc::clone(&egress),
-            pacer.clone(),
+            Rc::clone(&suspects),
+            hops,
             self.settings.seed,
         );
         let (close_clients, clients_closing) = watch::channel(false);
@@ -129,6 +144,7 @@
         let hop_server = HopServer {
             egress: Rc::clone(&egress),
             board: Arc::clone(&self.board),
+            suspects: Rc::clone(&suspects),
             pacer,
             connections: shutdown.peer_connections.clone(),
             closing: peers_closing,
@@ -136,6 +152,7 @@
         tokio::task::spawn_local(hop_server.run(peers));
         while !self.board.is_shutting_down() {
             self.board.set_report(egress.report());
+            suspects.review();
             tokio::time::sleep(REPORT_INTERVAL).await;
         }
         self.shut_down(&shutdown).await;
