rack, mesh: the end of a server is told before its request is answered, and a process that starts asks first

Callers: a client that asked again after 502 lost a fourth and a fifth server, as the process that knew of the second end had been killed 5 ms after it (poison_requests::restarted_nodes, 5 ends, 2 sendings after the third), and as a process had asked three others that had just started too.

The outcome of a request under which a server ended now waits until the other nodes have confirmed the news, 25 ms at most.

--- a/crates/core/src/traffic/poison/poison_guard.rs
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -68,8 +68,15 @@
     }
 
     /// Records that a request is about to be written to a server.
-    pub fn begin(&mut self, server: ServerLife, content: ContentDigest, route: RouteName) -> RunId {
+    pub fn begin(
+        &mut self,
+        now: Moment,
+        server: ServerLife,
+        content: ContentDigest,
+        route: RouteName,
+    ) -> RunId {
         self.watch.begin(RunningRequest {
+            begun: now,
             server,
             content,
             route,
--- a/crates/core/src/traffic/poison/server_watch.rs
+++ b/crates/core/src/traffic/poison/server_watch.rs
@@ -9,8 +9,10 @@
 use crate::ids::RouteName;
 use crate::time::Moment;
 
-/// How long a request that was cancelled or timed out may still be at work at its server.
+/// How long a request that was cancelled or timed out may still be at work at a server that answers others.
 const CANCELLED_TIME: Duration = Duration::from_secs(2);
+/// The same at a server that answers nothing: its end may be noticed that late.
+const MAX_CANCELLED_TIME: Duration = Duration::from_secs(30);
 /// How many such requests are remembered.
 const MAX_CANCELLED: usize = 256;
 
@@ -21,6 +23,8 @@
 /// A request under way at a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunningRequest {
+    /// When it was written.
+    pub begun: Moment,
     /// The server that got it.
     pub server: ServerLife,
     /// What it asks for.
@@ -41,6 +45,8 @@
     running: BTreeMap<RunId, RunningRequest>,
     /// Requests without an answer for which nobody waits any more, and since when.
     cancelled: Vec<(Moment, RunningRequest)>,
+    /// When the newest request was written that the server has answered.
+    answered: Option<(ServerLife, Moment)>,
     last_run: u64,
 }
 
@@ -55,7 +61,13 @@
 
     /// Removes a request that the server answered, or certainly did not run.
     pub fn remove(&mut self, run: RunId) -> Option<RunningRequest> {
-        self.running.remove(&run)
+        let request = self.running.remove(&run)?;
+        let newest = self
+            .answered
+            .filter(|(server, _)| *server == request.server);
+        let begun = newest.map_or(request.begun, |(_, begun)| begun.max(request.begun));
+        self.answered = Some((request.server, begun));
+        Some(request)
     }
 
     /// Records that nobody waits for the answer to a request any more.
@@ -63,8 +75,7 @@
         let Some(request) = self.running.remove(&run) else {
             return;
         };
-        self.cancelled
-            .retain(|(since, _)| now.since(*since) < CANCELLED_TIME);
+        self.drop_old(now);
         if !request.ended && self.cancelled.len() < MAX_CANCELLED {
             self.cancelled.push((now, request));
         }
@@ -72,6 +83,7 @@
 
     /// Records the end of a server; returns what was under way there, each content once.
     pub fn end(&mut self, now: Moment, server: ServerLife) -> Vec<RunningRequest> {
+        self.drop_old(now);
         let running = self
             .running
             .extract_if(.., |_, request| request.server == server);
@@ -79,13 +91,25 @@
         let cancelled = self
             .cancelled
             .extract_if(.., |(_, request)| request.server == server);
-        let recent = cancelled.filter(|(since, _)| now.since(*since) < CANCELLED_TIME);
-        ended.extend(recent.map(|(_, request)| request));
+        ended.extend(cancelled.map(|(_, request)| request));
         ended.sort_by_key(|request| request.content);
         ended.dedup_by_key(|request| request.content);
         ended
     }
 
+    fn drop_old(&mut self, now: Moment) {
+        let answered = self.answered;
+        self.cancelled.retain(|(since, request)| {
+            let responds =
+                answered.is_some_and(|(server, at)| server == request.server && at >= *since);
+            let limit = match responds {
+                true => CANCELLED_TIME,
+                false => MAX_CANCELLED_TIME,
+            };
+            now.since(*since) < limit
+        });
+    }
+
     /// Returns how many requests of a content are under way.
     pub fn copies(&self, content: &ContentDigest) -> usize {
         let running = self.running.values();
--- a/crates/mesh/src/traffic/suspects/news_outbox.rs
+++ b/crates/mesh/src/traffic/suspects/news_outbox.rs
@@ -95,6 +95,12 @@
         waiting.map(|pending| pending.due).min()
     }
 
+    /// Returns whether every node that confirms what it is told has heard what is due.
+    pub fn is_told(&self, now: Moment) -> bool {
+        let mut open = self.pending.values();
+        !open.any(|pending| pending.failures == 0 && (pending.sending || pending.due <= now))
+    }
+
     /// Records that a node has confirmed a letter.
     pub fn confirm(&mut self, now: Moment, letter: &NewsLetter) {
         let Some(pending) = self.pending.get_mut(&letter.to) else {
--- a/crates/mesh/src/traffic/suspects/suspect_news.rs
+++ b/crates/mesh/src/traffic/suspects/suspect_news.rs
@@ -13,4 +13,6 @@
     pub records: Vec<SuspectRecord>,
     /// The nodes to which the receiver passes this on.
     pub relay: Vec<NodeName>,
+    /// Whether the sender had time to learn what others know.
+    pub informed: bool,
 }
--- a/crates/rack/src/traffic/egress/server_end.rs
+++ b/crates/rack/src/traffic/egress/server_end.rs
@@ -56,6 +56,7 @@
     ) {
         if let Some(sign) = self.client.look_for_end(address, noticed).await {
             self.record_end(server, sign);
+            self.suspects.wait_told().await;
         }
     }
 
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -296,7 +296,7 @@
             let hops = Rc::clone(&self.hops);
             tokio::task::spawn_local(async move { hops.announce_intent_source(to, own).await });
         }
-        self.record_suspects(job, entry, &report);
+        self.record_suspects(job, entry, &report).await;
         if let Some(notice) = report.notice.clone() {
             self.notices.borrow_mut().record(node, notice);
         }
--- a/crates/rack/src/traffic/ingress/suspect_reports.rs
+++ b/crates/rack/src/traffic/ingress/suspect_reports.rs
@@ -12,7 +12,7 @@
 
 impl Ingress {
     /// Records what another node reports of a job's content, or that it reports nothing.
-    pub(super) fn record_suspects(
+    pub(super) async fn record_suspects(
         &self,
         job: &Job,
         entry: &DirectoryEntry,
@@ -37,6 +37,7 @@
                     at: clock::now(),
                 };
                 self.suspects.record_lost(job.content, lost);
+                self.suspects.wait_told().await;
             }
             _ => {}
         }
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -1,11 +1,13 @@
 //! The suspected contents as the traffic thread sees them.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::RouteName;
+use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::ContentDigest;
 use quetzalrack_core::traffic::poison::PoisonGuard;
 use quetzalrack_core::traffic::poison::RunId;
@@ -27,6 +29,10 @@
 use crate::metrics::Metrics;
 use crate::shared::Board;
 
+/// How long the outcome of a request waits until the other nodes have heard of the end under it.
+const MAX_TELLING_WAIT: Duration = Duration::from_millis(25);
+/// How long after its start a process waits for what the other nodes know before it sends to the server.
+const MAX_ASKING_WAIT: Duration = Duration::from_millis(500);
 /// How long news that clears a content is held back, so that one message carries several.
 const CLEARING_DELAY: Duration = Duration::from_millis(50);
 
@@ -40,6 +46,10 @@
     outbox: RefCell<NewsOutbox>,
     changed: Notify,
     queued: Notify,
+    delivered: Notify,
+    started: Moment,
+    /// Whether other nodes have told this process what they know.
+    informed: Cell<bool>,
 }
 
 impl Suspects {
@@ -57,6 +67,9 @@
             outbox: RefCell::default(),
             changed: Notify::new(),
             queued: Notify::new(),
+            delivered: Notify::new(),
+            started: clock::now(),
+            informed: Cell::default(),
         }
     }
 
@@ -102,7 +115,7 @@
         route: RouteName,
     ) -> RunId {
         let mut guard = self.guard.borrow_mut();
-        guard.begin(server.life(), content, route)
+        guard.begin(clock::now(), server.life(), content, route)
     }
 
     /// Records that the server answered a request.
@@ -209,6 +222,7 @@
         SuspectNews {
             records: self.guard.borrow().table().records(),
             relay: Vec::new(),
+            informed: self.is_informed(),
         }
     }
 
@@ -222,7 +236,13 @@
                 None => guard.table().records(),
             };
             let relay = letter.relay.clone();
-            (letter, SuspectNews { records, relay })
+            let informed = self.is_informed();
+            let news = SuspectNews {
+                records,
+                relay,
+                informed,
+            };
+            (letter, news)
         });
         with_news.collect()
     }
@@ -236,6 +256,29 @@
             false => outbox.fail(now, letter),
         }
         self.queued.notify_one();
+        self.delivered.notify_waiters();
+    }
+
+    /// Waits until the other nodes have heard of the latest ends, or for a moment. Whoever learns of the outcome
+    /// first may ask again at any of them, and this process may end.
+    pub(in crate::traffic) async fn wait_told(&self) {
+        let told = async {
+            while !self.outbox.borrow().is_told(clock::now()) {
+                self.delivered.notified().await;
+            }
+        };
+        tokio::time::timeout(MAX_TELLING_WAIT, told).await.ok();
+    }
+
+    /// Records that other nodes have told this process what they know, or that there are none.
+    pub(super) fn set_informed(&self) {
+        self.informed.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns whether this process knows what the others know, as far as it could find out.
+    pub(in crate::traffic) fn is_informed(&self) -> bool {
+        self.informed.get() || clock::now().since(self.started) >= MAX_ASKING_WAIT
     }
 
     /// Waits until a letter is due.
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -44,6 +44,8 @@
 const REBIND_INTERVAL: Duration = Duration::from_millis(2);
 /// Window over which requests to a cold server are counted.
 const SECOND: Duration = Duration::from_secs(1);
+/// Port of the node beside a server for its calls.
+const CLIENT_PORT: u16 = 8_304;
 /// How long a server works on a content under which it ends.
 const END_DELAY: Duration = Duration::from_millis(15);
 /// How long a server that has ended under a content is away.
@@ -191,13 +193,36 @@
         self.truth.drop_all(&incarnation);
     }
 
+    /// Makes a call by way of the node beside this server; returns whether it was served.
+    async fn call(&self, id: &str, path: &str, key: Option<u16>) -> bool {
+        let node = SocketAddr::new(self.plan.listen.ip(), CLIENT_PORT);
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        let mut request = http
+            .get(format!("http://{node}{path}"))
+            .header("host", "shop.example")
+            .header("x-request-id", format!("{id}.call-{}", self.incarnation()))
+            .header("x-deadline-ms", "900");
+        if let Some(key) = key {
+            request = request.header("x-shard-key", key.to_string());
+        }
+        let response = request.send().await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
     /// Ends under a content and starts again a little later, under an id of its own.
     fn end_under(&self, content: &Content) {
         let incarnation = self.incarnation();
-        let ended = self.lock().ended + 1;
+        let ended = {
+            let mut state = self.lock();
+            // Another copy of the content may have ended it already.
+            if std::mem::replace(&mut state.dead, true) {
+                return;
+            }
+            state.ended += 1;
+            state.ended
+        };
         self.truth.contents.ended(content, &incarnation);
         self.crash();
-        self.lock().ended = ended;
         let server = self.clone();
         tokio::spawn(async move {
             tokio::time::sleep(END_DOWNTIME).await;
@@ -615,6 +640,14 @@
         )
     };
     server.truth.begin(&id, &incarnation);
+    let called = uri.query().and_then(|query| query.strip_prefix("calls="));
+    if let Some(called) = called
+        && !server.call(&id, called, key).await
+    {
+        server.truth.finish(&id, &incarnation);
+        let stamped = server.response_headers(&incarnation, &id);
+        return (StatusCode::INTERNAL_SERVER_ERROR, stamped, "").into_response();
+    }
     let content = Content {
         method: method.to_string(),
         uri: uri.to_string(),
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -320,6 +320,22 @@
         if let Some(key) = key {
             request = request.header("x-shard-key", key.to_string());
         }
+        self.send(index, id, request).await
+    }
+
+    /// Sends a request with a body that may run once only.
+    pub async fn post(&self, index: usize, id: &str, path: &str, body: &str) -> ClientResponse {
+        let request = self
+            .http
+            .post(format!("http://{}{path}", self.hosts[index].clients))
+            .header("host", "shop.example")
+            .header("x-request-id", id)
+            .header("x-deadline-ms", "1500")
+            .body(body.to_owned());
+        self.send(index, id, request).await
+    }
+
+    async fn send(&self, index: usize, id: &str, request: RequestBuilder) -> ClientResponse {
         self.truth.notices.sent(id, index);
         let Ok(response) = request.send().await else {
             return ClientResponse {
