--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -66,6 +66,7 @@
     pub(super) notices: RefCell<PeerNotices>,
     round_robins: RefCell<HashMap<RouteName, WeightedRoundRobin>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    started: Moment,
     owner_waits: RefCell<OwnerWait>,
     running: ActiveCounter,
 }
@@ -92,6 +93,7 @@
             notices: RefCell::default(),
             round_robins: RefCell::default(),
             budgets: RefCell::default(),
+            started: clock::now(),
             owner_waits: RefCell::default(),
             running: ActiveCounter::default(),
         })
@@ -179,7 +181,12 @@
         let mut budgets = self.budgets.borrow_mut();
         let bounds = &self.settings.bounds;
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            RetryBudget::new(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack)
+            RetryBudget::new(
+                self.started,
+                bounds.retry_ratio,
+                bounds.retry_window,
+                bounds.retry_slack,
+            )
         });
         operation(budget, clock::now())
     }
