--- a/crates/core/src/traffic/poison/mod.rs
+++ b/crates/core/src/traffic/poison/mod.rs
@@ -4,18 +4,27 @@
 
 mod answered_contents;
 mod content_digest;
+mod news_outbox;
+mod peer_query;
 mod poison_guard;
+mod poison_tracker;
 mod server_end;
 mod server_life;
 mod server_watch;
+mod suspect_news;
 mod suspect_record;
 mod suspect_table;
 mod suspicion;
+mod trial_rank;
 
 pub use answered_contents::AnsweredContents;
 pub use content_digest::ContentDigest;
+pub use news_outbox::NewsLetter;
+pub use news_outbox::NewsOutbox;
+pub use peer_query::PeerQuery;
 pub use poison_guard::PoisonGuard;
 pub use poison_guard::TrialVerdict;
+pub use poison_tracker::PoisonTracker;
 pub use server_end::ParseServerEndError;
 pub use server_end::ServerEnd;
 pub use server_end::Witness;
@@ -23,6 +32,8 @@
 pub use server_watch::RunId;
 pub use server_watch::RunningRequest;
 pub use server_watch::ServerWatch;
+pub use suspect_news::SuspectNews;
 pub use suspect_record::SuspectRecord;
 pub use suspect_table::SuspectTable;
 pub use suspicion::Suspicion;
+pub use trial_rank::TrialRank;
--- a/crates/mesh/src/traffic/suspects/news_outbox.rs
+++ b/crates/core/src/traffic/poison/news_outbox.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use quetzalrack_core::ids::NodeName;
-use quetzalrack_core::time::Moment;
-use quetzalrack_core::traffic::poison::ContentDigest;
+use super::ContentDigest;
+use crate::ids::NodeName;
+use crate::time::Moment;
 
 /// How many nodes are told directly. In a larger fleet each of them tells a group of others.
 const MAX_DIRECT: usize = 32;
--- a/crates/core/src/traffic/poison/server_life.rs
+++ b/crates/core/src/traffic/poison/server_life.rs
@@ -17,13 +17,7 @@
     /// Derives the identity from a server's name and what tells its runs apart.
     pub fn of(name: &str, run: u64) -> Self {
         let parts = [name.as_bytes(), &run.to_be_bytes()];
-        ContentDigest::of(parts).into()
-    }
-}
-
-impl From<ContentDigest> for ServerLife {
-    fn from(digest: ContentDigest) -> Self {
-        Self(digest.leading_word())
+        Self(ContentDigest::of(parts).leading_word())
     }
 }
 
--- a/crates/mesh/src/traffic/suspects/suspect_news.rs
+++ b/crates/core/src/traffic/poison/suspect_news.rs
@@ -1,10 +1,11 @@
 //! The message by which nodes tell each other of suspected contents.
 
-use quetzalrack_core::ids::NodeName;
-use quetzalrack_core::traffic::poison::SuspectRecord;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::SuspectRecord;
+use crate::ids::NodeName;
+
 /// What a node knows of some contents.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/core/src/traffic/refusal/refusal_code.rs
+++ b/crates/core/src/traffic/refusal/refusal_code.rs
@@ -52,6 +52,10 @@
     ServerUnreachable,
     /// The deadline could not be met and nothing was sent.
     DeadlineNotRun,
+    /// Backend servers ended under requests of this content, and it is being tried at one.
+    Suspected,
+    /// Three backend servers ended under requests of this content, which is not sent any more.
+    PoisonRequest,
     /// The backend server knows a newer owner of the slice.
     StaleFence,
     /// The deadline passed while the backend server ran the request.
@@ -96,6 +100,8 @@
         Self::Shed,
         Self::ServerUnreachable,
         Self::DeadlineNotRun,
+        Self::Suspected,
+        Self::PoisonRequest,
         Self::StaleFence,
         Self::DeadlineUnknown,
         Self::AnswerLost,
@@ -127,6 +133,8 @@
             Self::Shed => "shed",
             Self::ServerUnreachable => "server_unreachable",
             Self::DeadlineNotRun => "deadline_not_run",
+            Self::Suspected => "suspected",
+            Self::PoisonRequest => "poison_request",
             Self::StaleFence => "stale_fence",
             Self::DeadlineUnknown => "deadline_unknown",
             Self::AnswerLost => "answer_lost",
@@ -153,6 +161,8 @@
             | Self::Overloaded
             | Self::Shed
             | Self::ServerUnreachable
+            | Self::Suspected
+            | Self::PoisonRequest
             | Self::StaleFence => 503,
             Self::NotOwner => 421,
             Self::DeadlineNotRun | Self::DeadlineUnknown => 504,
@@ -206,6 +216,7 @@
                 | Self::Shed
                 | Self::ServerUnreachable
                 | Self::DeadlineNotRun
+                | Self::Suspected
                 | Self::StaleFence
                 | Self::DeadlineUnknown
                 | Self::AnswerLost
--- a/crates/node/src/calls/call_client.rs
+++ b/crates/node/src/calls/call_client.rs
@@ -10,6 +10,7 @@
 use quetzalrack_core::boundary::BoxFuture;
 use quetzalrack_core::cluster::Member;
 use quetzalrack_core::intent::IntentSnapshot;
+use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_wire::calls;
 use quetzalrack_wire::calls::SealedCall;
 use serde::Serialize;
@@ -20,10 +21,13 @@
 use crate::platform::KeyStore;
 use crate::shared::Handover;
 use crate::shared::HandoverLink;
+use crate::shared::SuspectLink;
 
 /// Timeout of one call. After a handover that was lost, the successor starts with empty state once
 /// this has passed.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a call about suspected requests; what was not confirmed is told again.
+const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Calls other nodes; cheap to clone.
 #[derive(Clone, Debug)]
@@ -68,6 +72,23 @@
     }
 }
 
+impl SuspectLink for CallClient {
+    fn tell<'a>(&'a self, to: &'a Member, news: SuspectNews) -> BoxFuture<'a, bool> {
+        Box::pin(async move {
+            let told = self.call(to.control, calls::TELL_SUSPECTS, &news);
+            let confirmed = tokio::time::timeout(NEWS_TIMEOUT, told).await;
+            matches!(confirmed, Ok(Ok(true)))
+        })
+    }
+
+    fn ask(&self, address: SocketAddr) -> BoxFuture<'_, Option<SuspectNews>> {
+        Box::pin(async move {
+            let asked = self.call(address, calls::KNOWN_SUSPECTS, &());
+            tokio::time::timeout(NEWS_TIMEOUT, asked).await.ok()?.ok()
+        })
+    }
+}
+
 impl HandoverLink for CallClient {
     fn hand_over<'a>(&'a self, to: &'a Member, handover: Handover) -> BoxFuture<'a, bool> {
         Box::pin(async move {
--- a/crates/node/src/calls/call_server.rs
+++ b/crates/node/src/calls/call_server.rs
@@ -16,6 +16,7 @@
 use quetzalrack_core::ids::EnvironmentName;
 use quetzalrack_core::intent::IntentSnapshot;
 use quetzalrack_core::intent::Stage;
+use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_wire::calls;
 use quetzalrack_wire::calls::SealedCall;
 use serde::Serialize;
@@ -85,6 +86,17 @@
                 true
             })
         })?;
+        module.register_method(calls::TELL_SUSPECTS, |params, server, _| {
+            server.answer(calls::TELL_SUSPECTS, &params, |news: SuspectNews| {
+                server.traffic.receive_suspects(&news);
+                true
+            })
+        })?;
+        module.register_method(calls::KNOWN_SUSPECTS, |params, server, _| {
+            server.answer(calls::KNOWN_SUSPECTS, &params, |()| {
+                server.traffic.known_suspects()
+            })
+        })?;
         Ok(module)
     }
 
--- a/crates/node/src/node/bind_traffic.rs
+++ b/crates/node/src/node/bind_traffic.rs
@@ -34,6 +34,7 @@
         threads: settings.threads.unwrap_or_else(default_threads),
         keys: node.keys.clone(),
         choice: settings.choice,
+        seeds: settings.seeds.clone(),
         hedging: settings
             .hedging
             .unwrap_or(settings.choice == BalancingPolicy::Default),
@@ -41,7 +42,8 @@
     };
     let handovers = Arc::new(CallClient::new(node.keys.clone()));
     let clock = node.boundaries.clock.clone();
-    let running = Traffic::bind(config, node.view.clone(), clock, handovers)?;
+    let suspects = Arc::new(CallClient::new(node.keys.clone()));
+    let running = Traffic::bind(config, node.view.clone(), clock, handovers, suspects)?;
     Ok(BoundTraffic {
         address: running.address(),
         control: Arc::new(running),
--- a/crates/node/src/shared/traffic_control.rs
+++ b/crates/node/src/shared/traffic_control.rs
@@ -7,6 +7,7 @@
 use quetzalrack_core::ids::Fence;
 use quetzalrack_core::ids::SliceId;
 use quetzalrack_core::traffic::TrafficStats;
+use quetzalrack_core::traffic::poison::SuspectNews;
 
 use super::Handover;
 
@@ -32,6 +33,12 @@
     /// Keeps the state that another node handed over until the matching grant arrives.
     fn receive_handover(&self, handover: Handover);
 
+    /// Takes what another node knows of requests under which backend servers end.
+    fn receive_suspects(&self, news: &SuspectNews);
+
+    /// Returns what this node knows of such requests.
+    fn known_suspects(&self) -> SuspectNews;
+
     /// Returns the current statistics.
     fn stats(&self) -> TrafficStats;
 
--- a/crates/node/src/traffic/config.rs
+++ b/crates/node/src/traffic/config.rs
@@ -1,6 +1,7 @@
 //! The configuration of the traffic threads.
 
 use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use quetzalrack_core::ids::NodeName;
@@ -26,6 +27,8 @@
     pub keys: Arc<KeyStore>,
     /// How a node is chosen for a request that any node of the service may answer.
     pub choice: BalancingPolicy,
+    /// Where some other nodes take calls, known before any routing table.
+    pub seeds: Vec<SocketAddr>,
     /// Whether slow requests are hedged.
     pub hedging: bool,
     /// The seed of the load balancer's random choices, so that an experiment can be repeated.
--- a/crates/node/src/traffic/egress/attempt.rs
+++ b/crates/node/src/traffic/egress/attempt.rs
@@ -68,11 +68,15 @@
                 true => (AttemptOutcome::Abandoned, RefusalCode::BodyOverrun),
                 false => classify_error(&error),
             };
-            held_slot.end(outcome);
+            match outcome {
+                AttemptOutcome::Lost => held_slot.lost().await,
+                outcome => held_slot.end(outcome),
+            }
             let _ = caller.send(Err(code));
         }
         None => {
             let _ = caller.send(Err(RefusalCode::DeadlineUnknown));
+            egress.check_server(held_slot.origin()).await;
             // The slot is known to be free only once the backend server responds, the connection
             // fails, or the cancellation is confirmed and its timeout has passed. The connection
             // is kept until then. A late response is discarded.
--- a/crates/node/src/traffic/egress/egress_node.rs
+++ b/crates/node/src/traffic/egress/egress_node.rs
@@ -13,6 +13,7 @@
 use quetzalrack_core::boundary::Clock;
 use quetzalrack_core::cluster::Announcement;
 use quetzalrack_core::cluster::ServerState;
+use quetzalrack_core::document::spec::RouteSpec;
 use quetzalrack_core::ids::KeyHash;
 use quetzalrack_core::ids::SliceId;
 use quetzalrack_core::ids::ZoneName;
@@ -20,6 +21,8 @@
 use quetzalrack_core::traffic::admission::AttemptOutcome;
 use quetzalrack_core::traffic::idempotency::IdempotencySettings;
 use quetzalrack_core::traffic::idempotency::IdempotencyStore;
+use quetzalrack_core::traffic::poison::ContentDigest;
+use quetzalrack_core::traffic::poison::TrialVerdict;
 use quetzalrack_core::traffic::refusal::RefusalCode;
 
 use super::attempt;
@@ -32,7 +35,9 @@
 use super::prepared_request::ResponseOrigin;
 use super::response_body::stream_body;
 use super::server_client::ServerClient;
+use super::server_end::server_life;
 use super::slice_requests::SliceRequests;
+use super::slots::Slot;
 use super::slots::Slots;
 use crate::shared::HandoverLink;
 use crate::shared::SharedView;
@@ -41,6 +46,8 @@
 use crate::traffic::hop::buffer_body;
 use crate::traffic::payload::MAX_BUFFERED_BYTES;
 use crate::traffic::refusal::Refusal;
+use crate::traffic::suspects::SuspectRun;
+use crate::traffic::suspects::Suspects;
 
 /// How long requests are still accepted once the backend server is out of service, until the other
 /// nodes know of it; refusing them at once would use up their retry budgets.
@@ -65,6 +72,7 @@
     /// The backend server's incarnation that admission control was last told of.
     pub(super) incarnation: AtomicU64,
     pub(super) maintenance: Mutex<Maintenance>,
+    pub(super) suspects: Arc<Suspects>,
     idempotency: Mutex<IdempotencyStore>,
 }
 
@@ -74,6 +82,7 @@
         view: Arc<SharedView>,
         clock: Arc<dyn Clock>,
         handovers: Arc<dyn HandoverLink>,
+        suspects: Arc<Suspects>,
     ) -> Result<Self, reqwest::Error> {
         Ok(Self {
             zone,
@@ -86,6 +95,7 @@
             out_since: AtomicU64::new(0),
             incarnation: AtomicU64::new(0),
             maintenance: Mutex::default(),
+            suspects,
             idempotency: Mutex::new(IdempotencyStore::new(IdempotencySettings::default())),
             view,
             clock,
@@ -139,7 +149,7 @@
                 Ok(self.build_response(head, &origin, body))
             }
             BufferedBody::Broken => {
-                started.held_slot.end(AttemptOutcome::Lost);
+                started.held_slot.lost().await;
                 Err(RefusalCode::AnswerLost.into())
             }
         }
@@ -162,7 +172,10 @@
             ),
             None => None,
         };
-        let slot = self.slots.acquire(&hop.matched.route, hop.deadline).await?;
+        let (content, deadline) = (hop.content, hop.deadline);
+        let (slot, run) = self
+            .acquire_slot(&hop.matched.route, content, deadline, server)
+            .await?;
         let origin = ResponseOrigin::new(hop.attempt, server, grant);
         let body_exceeded = hop.payload.exceeded();
         let request = self.build_request(hop, &origin)?;
@@ -173,12 +186,37 @@
         }
         Ok(PreparedRequest {
             request,
-            held_slot: HeldSlot::new(self, origin, slot, slice_request),
+            held_slot: HeldSlot::new(self, origin, slot, slice_request, run),
             cancel_at,
             body_exceeded,
         })
     }
 
+    /// Waits for a slot. A request whose content is suspected takes none while it has to wait for another suspect.
+    async fn acquire_slot(
+        self: &Arc<Self>,
+        route: &RouteSpec,
+        content: Option<ContentDigest>,
+        deadline: Moment,
+        server: &Announcement,
+    ) -> Result<(Slot, Option<SuspectRun>), Refusal> {
+        loop {
+            self.suspects
+                .wait_for_trial(content.as_ref(), deadline)
+                .await?;
+            let slot = self.slots.acquire(route, deadline).await?;
+            let Some(content) = content else {
+                return Ok((slot, None));
+            };
+            let life = server_life(&server.server, server.incarnation);
+            match self.suspects.try_begin(life, content, route.name.clone()) {
+                Ok(run) => return Ok((slot, Some(run))),
+                Err(TrialVerdict::Refuse { .. }) => return Err(RefusalCode::PoisonRequest.into()),
+                Err(TrialVerdict::Send | TrialVerdict::Wait) => {}
+            }
+        }
+    }
+
     /// Returns the grant under which this node may serve a slice now.
     pub(super) fn grant(&self, slice: SliceId) -> Result<Grant, Refusal> {
         let leases = self.view.leases.load();
--- a/crates/node/src/traffic/egress/maintenance.rs
+++ b/crates/node/src/traffic/egress/maintenance.rs
@@ -14,6 +14,8 @@
 use quetzalrack_core::traffic::balancing::NodeLoad;
 
 use super::Egress;
+use super::server_end::EndSign;
+use super::server_end::server_life;
 
 /// The interval at which admission control is run while requests wait.
 const QUEUE_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -112,6 +114,10 @@
                 return;
             };
             if maintenance.incarnation != Some(server.incarnation) {
+                if let Some(previous) = &maintenance.announcement {
+                    let life = server_life(&previous.server, previous.incarnation);
+                    self.record_end(life, &previous.server, EndSign::Replaced);
+                }
                 self.client.limit_idle(&server);
                 maintenance.incarnation = Some(server.incarnation);
                 maintenance.warmed_count = 0;
--- a/crates/node/src/traffic/egress/mod.rs
+++ b/crates/node/src/traffic/egress/mod.rs
@@ -11,6 +11,7 @@
 mod response_body;
 mod response_head;
 mod server_client;
+mod server_end;
 mod slice_requests;
 mod slots;
 
--- a/crates/node/src/traffic/egress/non_repeatable_run.rs
+++ b/crates/node/src/traffic/egress/non_repeatable_run.rs
@@ -177,7 +177,7 @@
                 Ok(self.egress.build_response(head, &origin, body))
             }
             BufferedBody::Broken => {
-                started.held_slot.end(AttemptOutcome::Lost);
+                started.held_slot.lost().await;
                 self.record_outcome(ExecutionOutcome::Unknown);
                 Err(RefusalCode::AnswerLost.into())
             }
--- a/crates/node/src/traffic/egress/prepared_request.rs
+++ b/crates/node/src/traffic/egress/prepared_request.rs
@@ -16,6 +16,7 @@
 use super::Egress;
 use super::slice_requests::SliceRequest;
 use super::slots::Slot;
+use crate::traffic::suspects::SuspectRun;
 
 /// The grant under which a request is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +61,7 @@
 struct Inner {
     slot: Slot,
     _slice_request: Option<SliceRequest>,
+    run: Option<SuspectRun>,
 }
 
 impl HeldSlot {
@@ -68,6 +70,7 @@
         origin: ResponseOrigin,
         slot: Slot,
         slice_request: Option<SliceRequest>,
+        run: Option<SuspectRun>,
     ) -> Self {
         Self {
             egress: Arc::clone(egress),
@@ -75,6 +78,7 @@
             inner: Some(Inner {
                 slot,
                 _slice_request: slice_request,
+                run,
             }),
         }
     }
@@ -86,9 +90,21 @@
     /// Releases the slot of a request whose outcome is known.
     pub(super) fn end(mut self, outcome: AttemptOutcome) {
         if let Some(inner) = self.inner.take() {
+            match (inner.run, outcome) {
+                (Some(run), AttemptOutcome::Answered(_) | AttemptOutcome::Failed) => run.answered(),
+                (Some(run), AttemptOutcome::Shed | AttemptOutcome::Unreachable) => run.not_run(),
+                // Nobody waits for the response any more.
+                (run, _) => drop(run),
+            }
             inner.slot.end(outcome);
         }
     }
+
+    /// Releases the slot of a request whose response was lost, after looking whether the backend server ended.
+    pub(super) async fn lost(self) {
+        self.egress.check_server(&self.origin).await;
+        self.end(AttemptOutcome::Lost);
+    }
 }
 
 impl Drop for HeldSlot {
--- a/crates/node/src/traffic/egress/response_body.rs
+++ b/crates/node/src/traffic/egress/response_body.rs
@@ -69,7 +69,7 @@
                 return;
             }
             Ok(Err(_)) => {
-                held_slot.end(AttemptOutcome::Lost);
+                held_slot.lost().await;
                 return;
             }
             // The backend server stalled partway and may still resume, so the work is cancelled.
--- a/crates/node/src/traffic/hop/hop_request.rs
+++ b/crates/node/src/traffic/hop/hop_request.rs
@@ -8,6 +8,7 @@
 use quetzalrack_core::ids::RequestId;
 use quetzalrack_core::ids::SliceId;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ContentDigest;
 use quetzalrack_core::traffic::routes::MatchedRoute;
 
 use crate::traffic::payload::Payload;
@@ -27,6 +28,8 @@
     pub(in crate::traffic) headers: HeaderMap,
     /// The body.
     pub(in crate::traffic) payload: Payload,
+    /// The digest of what is asked for; none if the body is not buffered.
+    pub(in crate::traffic) content: Option<ContentDigest>,
     /// When the caller stops waiting for the response.
     pub(in crate::traffic) deadline: Moment,
     /// The slice of the key by the ingress node's routing table.
@@ -44,6 +47,20 @@
     }
 }
 
+/// Digests what a request asks for: not its idempotency key, which differs between a caller's requests.
+pub(in crate::traffic) fn digest_content(
+    matched: &MatchedRoute,
+    target: &str,
+    payload: &Payload,
+) -> Option<ContentDigest> {
+    let Payload::Buffered(body) = payload else {
+        return None;
+    };
+    let method = matched.route.method.to_string();
+    let parts = [method.as_bytes(), target.as_bytes(), body];
+    Some(ContentDigest::of(parts))
+}
+
 /// Returns the slice and the key's hash of a request. If the path contains no key, the idempotency
 /// key is hashed instead, so that all repeats of a request reach the same idempotency store.
 pub(in crate::traffic) fn slice_in(
--- a/crates/node/src/traffic/hop/mod.rs
+++ b/crates/node/src/traffic/hop/mod.rs
@@ -14,5 +14,6 @@
 pub(super) use hop_authenticator::HopAuthenticator;
 pub(super) use hop_authenticator::HopVerification;
 pub(super) use hop_request::HopRequest;
+pub(super) use hop_request::digest_content;
 pub(super) use hop_request::slice_in;
 pub(super) use response_match::matches_attempt;
--- a/crates/node/src/traffic/ingress/balanced.rs
+++ b/crates/node/src/traffic/ingress/balanced.rs
@@ -41,12 +41,18 @@
         let mut payload = Some(payload);
         let mut earlier = None;
         while let Some(sent) = payload.take() {
+            if let Err(refusal) = self.check_poison(incoming) {
+                return Err(refusal.merge_earlier(earlier));
+            }
             let Some(target) = self.choose_target(incoming, &tried) else {
                 break;
             };
             tried.push(target.member.node.clone());
             payload = sent.try_clone();
-            if let (Some(straggler), Some(copy)) = (target.probe, sent.try_clone()) {
+            let is_suspected = self.is_suspected(incoming);
+            if let (Some(straggler), Some(copy)) =
+                (target.probe.filter(|_| !is_suspected), sent.try_clone())
+            {
                 self.send_probe(incoming, straggler, copy);
             }
             let refusal = match self
@@ -142,7 +148,8 @@
     }
 
     fn hedge_delay(&self, incoming: &IncomingRequest, payload: &Payload) -> Option<Duration> {
-        if !self.config.hedging || !matches!(payload, Payload::Buffered(_)) {
+        let is_single = !matches!(payload, Payload::Buffered(_)) || self.is_suspected(incoming);
+        if !self.config.hedging || is_single {
             return None;
         }
         self.ingress.retries.hedge_delay(&incoming.matched)
@@ -158,11 +165,12 @@
 
     fn choose_target(&self, incoming: &IncomingRequest, tried: &[NodeName]) -> Option<Target> {
         let routing = self.view.routing.load();
-        let nodes: Vec<&RoutingNode> = routing
+        let mut nodes: Vec<&RoutingNode> = routing
             .nodes
             .values()
             .filter(|node| self.is_available(incoming, node) && !tried.contains(&node.member.node))
             .collect();
+        self.retain_trial_nodes(incoming, &mut nodes);
         let now = self.clock.now();
         let chosen = self.ingress.balancer().choose(now, &nodes)?;
         let member = |name: &NodeName| Some(routing.nodes.get(name)?.member.clone());
--- a/crates/node/src/traffic/ingress/caller_response.rs
+++ b/crates/node/src/traffic/ingress/caller_response.rs
@@ -26,6 +26,7 @@
     headers::ATTEMPT,
     headers::LOAD,
     headers::OWNER,
+    headers::ENDS,
     headers::REFUSAL,
 ];
 
@@ -52,7 +53,8 @@
                     request:% = incoming.request,
                     route:% = incoming.matched.route.name,
                     code:% = refusal.code,
-                    waited_ms = latency.as_millis() as u64;
+                    waited_ms = latency.as_millis() as u64,
+                    ends = self.suspects.ends_counted(incoming.content.as_ref());
                     "request refused"
                 );
                 self.record_refusal(incoming, &refusal, latency);
--- a/crates/node/src/traffic/ingress/incoming_request.rs
+++ b/crates/node/src/traffic/ingress/incoming_request.rs
@@ -5,6 +5,7 @@
 use quetzalrack_core::ids::RequestId;
 use quetzalrack_core::ids::SliceId;
 use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ContentDigest;
 use quetzalrack_core::traffic::routes::MatchedRoute;
 use uuid::Uuid;
 
@@ -18,6 +19,8 @@
     pub(super) matched: MatchedRoute,
     pub(super) target: String,
     pub(super) headers: HeaderMap,
+    /// The digest of what is asked for, once the body is read; none if it is not buffered.
+    pub(super) content: Option<ContentDigest>,
     pub(super) deadline: Moment,
     pub(super) arrived: Moment,
 }
@@ -32,6 +35,7 @@
             target: self.target.clone(),
             headers: self.headers.clone(),
             payload,
+            content: self.content,
             deadline: self.deadline,
             slice,
         }
--- a/crates/node/src/traffic/ingress/mod.rs
+++ b/crates/node/src/traffic/ingress/mod.rs
@@ -9,5 +9,6 @@
 mod request_handler;
 mod route_cache;
 mod second_attempts;
+mod trials;
 
 pub(super) use ingress_node::Ingress;
--- a/crates/node/src/traffic/ingress/owned.rs
+++ b/crates/node/src/traffic/ingress/owned.rs
@@ -59,6 +59,7 @@
         let mut redirects = 0;
         let wait_until = self.owner_deadline(incoming);
         loop {
+            self.check_poison(incoming)?;
             let slice = self.slice(incoming);
             let before = self.view_state(slice.as_ref());
             let owner = slice
--- a/crates/node/src/traffic/ingress/remote.rs
+++ b/crates/node/src/traffic/ingress/remote.rs
@@ -25,6 +25,7 @@
 use crate::traffic::hop::set_header;
 use crate::traffic::payload::MAX_BUFFERED_BYTES;
 use crate::traffic::refusal::Refusal;
+use crate::traffic::suspects::write_ends;
 use crate::traffic::traffic_core::TrafficCore;
 
 /// How long ingress waits past the deadline for the other node's refusal, which tells whether the
@@ -42,6 +43,7 @@
     ) -> AttemptResult {
         let _outstanding = self.ingress.outstanding(&member.node);
         if member.node == self.config.node {
+            self.suspects.wait_informed().await;
             let result = self.egress.serve(hop).await;
             let load = self.egress.load();
             let now = self.clock.now();
@@ -52,29 +54,22 @@
     }
 
     async fn send_remote(&self, member: &Member, hop: HopRequest) -> AttemptResult {
-        let attempt = hop.attempt;
-        let deadline = hop.deadline + REFUSAL_GRACE;
-        let body_exceeded = hop.payload.exceeded();
-        let request = self.remote_request(member, hop)?;
-        let executed = tokio::select! {
-            executed = self.ingress.client.execute(request) => executed,
-            () = self.ingress.sleep_until(deadline) => {
-                return Err(RefusalCode::DeadlineUnknown.into());
+        let (attempt, content) = (hop.attempt, hop.content);
+        let mut received = match self.exchange(member, hop).await {
+            Ok(received) => received,
+            Err(refusal) => {
+                self.record_lost(content.as_ref(), member, &refusal).await;
+                return Err(refusal);
             }
         };
-        let mut received = executed.map_err(|error| {
-            Refusal::from(match error.is_connect() {
-                _ if body_exceeded.load(Ordering::Acquire) => RefusalCode::BodyOverrun,
-                true => RefusalCode::ServerUnreachable,
-                false => RefusalCode::AnswerLost,
-            })
-        })?;
         if !matches_attempt(received.headers(), attempt) {
             log::warn!(event = "answer_crossed", node:% = member.node, attempt:% = attempt; "dropped a response to another attempt");
             return Err(RefusalCode::AnswerLost.into());
         }
         self.record_load(member, received.headers());
-        if let Some(refusal) = Refusal::from_headers(received.headers()) {
+        let refusal = Refusal::from_headers(received.headers());
+        self.record_response(content.as_ref(), member, refusal.as_ref());
+        if let Some(refusal) = refusal {
             // The body is read to its end, so that the connection can be reused.
             let _ = buffer_body(&mut received, MAX_BUFFERED_BYTES as usize).await;
             return Err(refusal);
@@ -92,6 +87,30 @@
         Ok(response)
     }
 
+    /// Sends an attempt to another node and returns its response as far as the end of the headers.
+    async fn exchange(
+        &self,
+        member: &Member,
+        hop: HopRequest,
+    ) -> Result<reqwest::Response, Refusal> {
+        let deadline = hop.deadline + REFUSAL_GRACE;
+        let body_exceeded = hop.payload.exceeded();
+        let request = self.remote_request(member, hop)?;
+        let executed = tokio::select! {
+            executed = self.ingress.client.execute(request) => executed,
+            () = self.ingress.sleep_until(deadline) => {
+                return Err(RefusalCode::DeadlineUnknown.into());
+            }
+        };
+        executed.map_err(|error| {
+            Refusal::from(match error.is_connect() {
+                _ if body_exceeded.load(Ordering::Acquire) => RefusalCode::BodyOverrun,
+                true => RefusalCode::ServerUnreachable,
+                false => RefusalCode::AnswerLost,
+            })
+        })
+    }
+
     fn remote_request(
         &self,
         member: &Member,
@@ -111,6 +130,7 @@
         if let Some(slice) = &hop.slice {
             set_header(&mut map, headers::SLICE, slice);
         }
+        write_ends(&mut map, &self.suspects.ends(hop.content.as_ref()));
         let wall = self.clock.wall();
         self.authenticator
             .sign(wall, method.as_str(), &hop.target, &mut map);
--- a/crates/node/src/traffic/ingress/request_handler.rs
+++ b/crates/node/src/traffic/ingress/request_handler.rs
@@ -21,12 +21,14 @@
 use super::incoming_request::IncomingRequest;
 use crate::traffic::hop::HopRequest;
 use crate::traffic::hop::HopVerification;
+use crate::traffic::hop::digest_content;
 use crate::traffic::hop::retain_forwarded;
 use crate::traffic::hop::set_header;
 use crate::traffic::payload::MAX_BUFFERED_BYTES;
 use crate::traffic::payload::Payload;
 use crate::traffic::payload::StreamedBody;
 use crate::traffic::refusal::Refusal;
+use crate::traffic::suspects::read_ends;
 use crate::traffic::traffic_core::TrafficCore;
 
 /// The largest total size of a request's headers, in bytes.
@@ -71,18 +73,22 @@
         };
         let mut map = parts.headers;
         retain_forwarded(&mut map);
-        let incoming = IncomingRequest {
+        let mut incoming = IncomingRequest {
             request,
             deadline: arrived + matched.route.deadline_ms.as_duration(),
             matched,
             target,
             headers: map,
+            content: None,
             arrived,
         };
-        let result = match self
+        let payload = self
             .read_body(&incoming.matched, &incoming.headers, body)
-            .await
-        {
+            .await;
+        if let Ok(payload) = &payload {
+            incoming.content = digest_content(&incoming.matched, &incoming.target, payload);
+        }
+        let result = match payload {
             Err(refusal) => Err(refusal),
             Ok(payload) if incoming.matched.needs_owner() => {
                 self.run_owned(&incoming, payload).await
@@ -107,6 +113,7 @@
         };
         let deadline = self.clock.now() + Milliseconds(left).as_duration();
         let slice = header_value(&parts.headers, headers::SLICE);
+        let ends = read_ends(&parts.headers);
         let result = match self.match_route(&parts, &target) {
             Err(refusal) => Err(refusal),
             Ok(matched) => {
@@ -115,6 +122,7 @@
                 match self.read_body(&matched, &map, body).await {
                     Err(refusal) => Err(refusal),
                     Ok(payload) => {
+                        let content = digest_content(&matched, &target, &payload);
                         let hop = HopRequest {
                             request,
                             attempt,
@@ -122,10 +130,11 @@
                             target,
                             headers: map,
                             payload,
+                            content,
                             deadline,
                             slice,
                         };
-                        self.egress.serve(hop).await
+                        self.serve_peer(hop, &ends).await
                     }
                 }
             }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod refusal;
 mod running_traffic;
 mod server;
+mod suspects;
 mod traffic_control;
 mod traffic_core;
 
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -9,13 +9,19 @@
 use axum::http::StatusCode;
 use axum::http::header;
 use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::traffic::poison::ServerEnd;
 use quetzalrack_core::traffic::refusal::RefusalCode;
 use quetzalrack_core::traffic::refusal::WorkOutcome;
 use quetzalrack_wire::headers;
 use serde::Serialize;
 
+use super::suspects::read_ends;
+use super::suspects::write_ends;
+
 /// How long a caller should wait before a retry if nothing more precise is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// The same for a request under which backend servers end: until then some operator may have acted.
+const POISON_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// A node's response to a request that no backend server has answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,6 +29,8 @@
     pub(super) code: RefusalCode,
     pub(super) retry_after: Option<Duration>,
     pub(super) owner: Option<NodeName>,
+    /// The ends of backend servers under the request's content that the node knows.
+    pub(super) ends: Vec<ServerEnd>,
 }
 
 #[derive(Serialize)]
@@ -37,8 +45,12 @@
     fn from(code: RefusalCode) -> Self {
         Self {
             code,
-            retry_after: code.is_transient().then_some(DEFAULT_RETRY_AFTER),
+            retry_after: match code {
+                RefusalCode::PoisonRequest => Some(POISON_RETRY_AFTER),
+                code => code.is_transient().then_some(DEFAULT_RETRY_AFTER),
+            },
             owner: None,
+            ends: Vec::new(),
         }
     }
 }
@@ -77,6 +89,7 @@
                 .map(Duration::from_secs)
                 .or(Self::from(code).retry_after),
             owner: text(headers::OWNER).and_then(|name| name.parse().ok()),
+            ends: read_ends(response),
         })
     }
 
@@ -105,6 +118,7 @@
             let seconds = delay.as_millis().div_ceil(1_000) as u64;
             map.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
+        write_ends(map, &self.ends);
         if let Some(value) = self
             .owner
             .and_then(|owner| HeaderValue::from_str(owner.as_str()).ok())
--- a/crates/node/src/traffic/running_traffic.rs
+++ b/crates/node/src/traffic/running_traffic.rs
@@ -11,9 +11,11 @@
 use super::config::TrafficConfig;
 use super::error::TrafficError;
 use super::server;
+use super::suspects::exchange_news;
 use super::traffic_core::TrafficCore;
 use crate::shared::HandoverLink;
 use crate::shared::SharedView;
+use crate::shared::SuspectLink;
 
 /// How long connections are still accepted, and closed with their next response, after a shutdown
 /// was requested; within this time the other nodes and the callers move to other nodes.
@@ -40,6 +42,7 @@
         view: Arc<SharedView>,
         clock: Arc<dyn Clock>,
         handovers: Arc<dyn HandoverLink>,
+        suspect_link: Arc<dyn SuspectLink>,
     ) -> Result<RunningTraffic, TrafficError> {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(config.threads.max(1))
@@ -48,7 +51,8 @@
             .build()
             .map_err(TrafficError::Threads)?;
         let requested = SocketAddr::new(config.address, config.port);
-        let core = TrafficCore::new(config, view, clock, handovers)
+        let seeds = config.seeds.clone();
+        let core = TrafficCore::new(config, Arc::clone(&view), clock, handovers)
             .map(Arc::new)
             .map_err(TrafficError::Connections)?;
         let listener = {
@@ -67,6 +71,8 @@
             stop.send_replace(true);
         });
         runtime.spawn(Arc::clone(&core.egress).maintain());
+        let suspects = Arc::clone(&core.suspects);
+        runtime.spawn(exchange_news(suspects, view, suspect_link, seeds));
         Ok(RunningTraffic {
             core,
             shutdown,
--- a/crates/node/src/traffic/traffic_control.rs
+++ b/crates/node/src/traffic/traffic_control.rs
@@ -9,6 +9,7 @@
 use quetzalrack_core::ids::Fence;
 use quetzalrack_core::ids::SliceId;
 use quetzalrack_core::traffic::TrafficStats;
+use quetzalrack_core::traffic::poison::SuspectNews;
 
 use super::running_traffic::RunningTraffic;
 use super::running_traffic::SHUTDOWN_GRACE;
@@ -37,6 +38,14 @@
         self.core.egress.receive_handover(handover);
     }
 
+    fn receive_suspects(&self, news: &SuspectNews) {
+        self.core.suspects.receive(news);
+    }
+
+    fn known_suspects(&self) -> SuspectNews {
+        self.core.suspects.all()
+    }
+
     fn stats(&self) -> TrafficStats {
         self.core.egress.measure()
     }
--- a/crates/node/src/traffic/traffic_core.rs
+++ b/crates/node/src/traffic/traffic_core.rs
@@ -10,6 +10,7 @@
 use super::egress::Egress;
 use super::hop::HopAuthenticator;
 use super::ingress::Ingress;
+use super::suspects::Suspects;
 use crate::shared::HandoverLink;
 use crate::shared::SharedView;
 
@@ -22,6 +23,7 @@
     pub(super) counters: Counters,
     pub(super) egress: Arc<Egress>,
     pub(super) ingress: Ingress,
+    pub(super) suspects: Arc<Suspects>,
     /// Set once the node shuts down: every response then closes its connection.
     pub(super) shutting_down: AtomicBool,
 }
@@ -34,11 +36,17 @@
         handovers: Arc<dyn HandoverLink>,
     ) -> Result<Self, reqwest::Error> {
         let authenticator = HopAuthenticator::new(config.node.clone(), Arc::clone(&config.keys));
+        let suspects = Arc::new(Suspects::new(
+            config.node.clone(),
+            Arc::clone(&clock),
+            Arc::clone(&view),
+        ));
         let egress = Egress::new(
             config.zone.clone(),
             Arc::clone(&view),
             Arc::clone(&clock),
             handovers,
+            Arc::clone(&suspects),
         )?;
         let ingress = Ingress::new(&config, Arc::clone(&clock))?;
         Ok(Self {
@@ -46,6 +54,7 @@
             counters: Counters::default(),
             egress: Arc::new(egress),
             ingress,
+            suspects,
             shutting_down: AtomicBool::new(false),
             config,
             view,
--- a/crates/node/tests/traffic_support/test_node.rs
+++ b/crates/node/tests/traffic_support/test_node.rs
@@ -19,12 +19,14 @@
 use quetzalrack_core::ids::Version;
 use quetzalrack_core::intent::InForce;
 use quetzalrack_core::traffic::balancing::BalancingPolicy;
+use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_node::platform::BootClock;
 use quetzalrack_node::platform::KeyStore;
 use quetzalrack_node::settings::NodeSettings;
 use quetzalrack_node::shared::Handover;
 use quetzalrack_node::shared::HandoverLink;
 use quetzalrack_node::shared::SharedView;
+use quetzalrack_node::shared::SuspectLink;
 use quetzalrack_node::traffic::RunningTraffic;
 use quetzalrack_node::traffic::Traffic;
 use quetzalrack_node::traffic::TrafficConfig;
@@ -74,6 +76,19 @@
     }
 }
 
+/// Reaches no other node.
+struct NoPeers;
+
+impl SuspectLink for NoPeers {
+    fn tell<'a>(&'a self, _: &'a Member, _: SuspectNews) -> BoxFuture<'a, bool> {
+        Box::pin(async { false })
+    }
+
+    fn ask(&self, _: SocketAddr) -> BoxFuture<'_, Option<SuspectNews>> {
+        Box::pin(async { None })
+    }
+}
+
 /// One node with its fake backend server.
 pub struct TestNode {
     pub traffic: RunningTraffic,
@@ -112,6 +127,7 @@
         threads: 2,
         keys: Arc::new(KeyStore::open(&settings).unwrap()),
         choice,
+        seeds: Vec::new(),
         hedging,
         seed: index as u64,
     };
@@ -120,7 +136,8 @@
     let clock: Arc<dyn Clock> = Arc::new(BootClock);
     let handovers = Arc::new(RecordedHandovers::default());
     let link: Arc<dyn HandoverLink> = handovers.clone();
-    let traffic = Traffic::bind(config, Arc::clone(&view), clock, link).unwrap();
+    let suspects: Arc<dyn SuspectLink> = Arc::new(NoPeers);
+    let traffic = Traffic::bind(config, Arc::clone(&view), clock, link, suspects).unwrap();
     let unused_address: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let announcement = announcement(service, index, &server);
     view.announcement
--- a/crates/rack/src/traffic/egress/trials.rs
+++ b/crates/rack/src/traffic/egress/trials.rs
@@ -65,12 +65,12 @@
         let end = start + MAX_TRIAL_WAIT.min(left);
         loop {
             match self.suspects.try_send(&job.content) {
-                TrialVerdict::Send if self.suspects.is_informed() => return Ok(()),
+                TrialVerdict::Send => return Ok(()),
                 TrialVerdict::Refuse { certain } => return Err(poison_refusal(certain)),
-                _ if clock::now() >= end => {
+                TrialVerdict::Wait if clock::now() >= end => {
                     return Err((RefusalReason::Suspected, RETRY_AFTER_TRIAL));
                 }
-                TrialVerdict::Send | TrialVerdict::Wait => {
+                TrialVerdict::Wait => {
                     tokio::time::timeout(TRIAL_POLL_INTERVAL, self.suspects.changed())
                         .await
                         .ok();
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -11,9 +11,9 @@
 use http::Uri;
 use http_body_util::Full;
 use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_mesh::traffic::RefusalReason;
-use quetzalrack_mesh::traffic::suspects::SuspectNews;
 
 use super::INTENT_PATH;
 use super::SUSPECTS_PATH;
--- a/crates/rack/src/traffic/suspects/exchange.rs
+++ b/crates/rack/src/traffic/suspects/exchange.rs
@@ -1,26 +1,17 @@
 //! Sends news of suspected contents to the other nodes.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::traffic::poison::PeerQuery;
 
 use super::Suspects;
 use crate::clock;
 use crate::shared::Board;
 use crate::traffic::hop::HopClient;
 
-/// How long a process that has just started looks for nodes to ask.
-const ASKING_TIME: Duration = Duration::from_secs(10);
-/// How many nodes are to answer.
-const NODES_ASKED: usize = 5;
-/// How often one that does not answer, or has just started itself, is asked, and in which interval.
-const MAX_TIMES_ASKED: u32 = 3;
-const ASK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Tells the other nodes of ends of servers, and asks them at the start.
 pub(in crate::traffic) struct SuspectExchange {
     pub(in crate::traffic) node_name: NodeName,
@@ -50,37 +41,27 @@
         }
     }
 
-    /// Asks some nodes what the process before this one may have known. One that has just started itself knows
-    /// no more, and is asked again.
+    /// Asks some nodes what the process before this one may have known.
     async fn ask_others(self: Rc<Self>) {
-        let end = clock::now() + ASKING_TIME;
-        let mut asked: BTreeMap<NodeName, u32> = BTreeMap::new();
-        let mut answers = 0;
-        while answers < NODES_ASKED && clock::now() < end {
+        let mut query = PeerQuery::new(clock::now());
+        while let Some(left) = query.time_left(clock::now()) {
             let view = self.board.view();
-            let others = view.directory.members.iter();
-            let others = others.filter(|(node, _)| **node != self.node_name);
-            let next = others
-                .map(|(node, entry)| (asked.get(node).copied().unwrap_or(0), node, entry))
-                .filter(|(times, ..)| *times < MAX_TIMES_ASKED)
-                .min_by_key(|(times, node, _)| (*times, **node < self.node_name, *node));
-            let Some((times, node, entry)) = next else {
-                let left = end.since(clock::now());
+            let members = view.directory.members.keys();
+            let others = members.filter(|node| **node != self.node_name);
+            let Some((node, wait)) = query.next(&self.node_name, others) else {
                 tokio::time::timeout(left, self.board.changed()).await.ok();
                 continue;
             };
-            asked.insert(node.clone(), times + 1);
-            if times > 0 {
-                tokio::time::sleep(ASK_INTERVAL).await;
-            }
-            let Some(news) = self.hops.fetch_suspects(entry.member.traffic).await else {
+            tokio::time::sleep(wait).await;
+            let Some(address) = self.address_of(&node) else {
                 continue;
             };
-            self.suspects.receive(&news);
-            if news.informed {
-                answers += 1;
-                asked.insert(node.clone(), MAX_TIMES_ASKED);
-                self.suspects.set_informed();
+            if let Some(news) = self.hops.fetch_suspects(address).await {
+                self.suspects.receive(&news);
+                query.record_answer(&node, news.informed);
+                if news.informed {
+                    self.suspects.set_informed();
+                }
             }
         }
     }
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -1,28 +1,24 @@
 //! The suspected contents as the traffic thread sees them.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::sync::Arc;
 use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::RouteName;
-use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::ContentDigest;
-use quetzalrack_core::traffic::poison::PoisonGuard;
+use quetzalrack_core::traffic::poison::NewsLetter;
+use quetzalrack_core::traffic::poison::PoisonTracker;
 use quetzalrack_core::traffic::poison::RunId;
 use quetzalrack_core::traffic::poison::RunningRequest;
 use quetzalrack_core::traffic::poison::ServerEnd;
-use quetzalrack_core::traffic::poison::SuspectRecord;
+use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_core::traffic::poison::TrialVerdict;
 use quetzalrack_mesh::model::ServerIncarnation;
 use quetzalrack_mesh::ownership::Directory;
 use quetzalrack_mesh::traffic::suspects::LostHop;
 use quetzalrack_mesh::traffic::suspects::LostHops;
-use quetzalrack_mesh::traffic::suspects::NewsLetter;
-use quetzalrack_mesh::traffic::suspects::NewsOutbox;
-use quetzalrack_mesh::traffic::suspects::SuspectNews;
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -31,25 +27,19 @@
 
 /// How long the outcome of a request waits until the other nodes have heard of the end under it.
 const MAX_TELLING_WAIT: Duration = Duration::from_millis(25);
-/// How long after its start a process waits for what the other nodes know before it sends to the server.
-const MAX_ASKING_WAIT: Duration = Duration::from_millis(500);
-/// How long news that clears a content is held back, so that one message carries several.
-const CLEARING_DELAY: Duration = Duration::from_millis(50);
+/// How often a process that has just started looks whether it has waited long enough.
+const INFORMED_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Shared by the requests of this node's clients and those for the server beside it.
 pub(in crate::traffic) struct Suspects {
     node_name: NodeName,
     board: Arc<Board>,
     metrics: Arc<Metrics>,
-    guard: RefCell<PoisonGuard>,
+    tracker: RefCell<PoisonTracker>,
     lost_hops: RefCell<LostHops>,
-    outbox: RefCell<NewsOutbox>,
     changed: Notify,
     queued: Notify,
     delivered: Notify,
-    started: Moment,
-    /// Whether other nodes have told this process what they know.
-    informed: Cell<bool>,
 }
 
 impl Suspects {
@@ -62,30 +52,27 @@
             node_name,
             board,
             metrics,
-            guard: RefCell::default(),
+            tracker: RefCell::new(PoisonTracker::new(clock::now())),
             lost_hops: RefCell::default(),
-            outbox: RefCell::default(),
             changed: Notify::new(),
             queued: Notify::new(),
             delivered: Notify::new(),
-            started: clock::now(),
-            informed: Cell::default(),
         }
     }
 
     /// Returns how strongly a content is suspected.
     pub(in crate::traffic) fn suspicion(&self, content: &ContentDigest) -> Suspicion {
-        self.guard.borrow().suspicion(content)
+        self.tracker.borrow().table().suspicion(content)
     }
 
     /// Returns the ends of servers under a content.
     pub(in crate::traffic) fn ends(&self, content: &ContentDigest) -> Vec<ServerEnd> {
-        self.guard.borrow().table().ends(content).to_vec()
+        self.tracker.borrow().table().ends(content).to_vec()
     }
 
     /// Returns how many servers ended under a content.
     pub(in crate::traffic) fn ends_counted(&self, content: &ContentDigest) -> usize {
-        self.guard.borrow().table().ends_counted(content)
+        self.tracker.borrow().table().ends_counted(content)
     }
 
     /// Returns whether a node that knows these ends knows all that count here.
@@ -94,12 +81,12 @@
         content: &ContentDigest,
         told: &[ServerEnd],
     ) -> bool {
-        self.guard.borrow().table().is_covered(content, told)
+        self.tracker.borrow().table().is_covered(content, told)
     }
 
     /// Decides whether a request may be sent to the server beside this node.
     pub(in crate::traffic) fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        self.guard.borrow().try_send(content)
+        self.tracker.borrow().try_send(content)
     }
 
     /// Waits until a verdict may have changed.
@@ -114,63 +101,50 @@
         content: ContentDigest,
         route: RouteName,
     ) -> RunId {
-        let mut guard = self.guard.borrow_mut();
-        guard.begin(clock::now(), server.life(), content, route)
+        let mut tracker = self.tracker.borrow_mut();
+        tracker.begin(clock::now(), server.life(), content, route)
     }
 
     /// Records that the server answered a request.
     pub(in crate::traffic) fn record_answer(&self, run: RunId) {
-        let news = self.guard.borrow_mut().record_answer(clock::now(), run);
-        self.publish(&news, CLEARING_DELAY);
-        self.changed.notify_waiters();
+        let others = self.others_if_suspected();
+        self.update(|tracker| tracker.record_answer(clock::now(), run, &others));
     }
 
     /// Records that the server certainly did not run a request.
     pub(in crate::traffic) fn record_not_run(&self, run: RunId) {
-        self.guard.borrow_mut().record_not_run(run);
-        self.changed.notify_waiters();
+        self.update(|tracker| tracker.record_not_run(run));
     }
 
     /// Records that nobody waits for the answer to a request any more.
     pub(in crate::traffic) fn record_cancelled(&self, run: RunId) {
-        let mut guard = self.guard.borrow_mut();
-        guard.record_cancelled(clock::now(), run);
-        self.changed.notify_waiters();
+        self.update(|tracker| tracker.record_cancelled(clock::now(), run));
     }
 
     /// Records the end of the server beside this node, and returns what was under way there.
     pub(in crate::traffic) fn record_end(&self, server: &ServerIncarnation) -> Vec<RunningRequest> {
-        let mut guard = self.guard.borrow_mut();
-        let ended = guard.record_end(clock::now(), server.life());
-        let contents = ended.iter().map(|request| request.content).collect();
-        let news = guard.records(contents);
-        drop(guard);
+        let (life, others) = (server.life(), self.others());
+        let ended = self.update(|tracker| tracker.record_end(clock::now(), life, &others));
         for request in &ended {
             self.log_suspect(&request.content, Some(&request.route));
         }
-        self.publish(&news, Duration::ZERO);
-        self.changed.notify_waiters();
         ended
     }
 
     /// Records that a request was lost together with the node that it was sent to.
     pub(in crate::traffic) fn record_lost(&self, content: ContentDigest, lost: LostHop) {
-        let life = lost.server.life();
-        let is_news = self
-            .guard
-            .borrow_mut()
-            .record_lost(clock::now(), content, life);
+        let (life, others) = (lost.server.life(), self.others());
+        let is_news =
+            self.update(|tracker| tracker.record_lost(clock::now(), content, life, &others));
         if is_news {
             self.lost_hops.borrow_mut().record(lost);
-            let news = self.guard.borrow().records(vec![content]);
             self.log_suspect(&content, None);
-            self.publish(&news, Duration::ZERO);
         }
     }
 
     /// Records that a request was answered by way of another node.
     pub(in crate::traffic) fn record_answer_elsewhere(&self, content: ContentDigest) {
-        self.guard.borrow_mut().record_answer_elsewhere(content);
+        self.tracker.borrow_mut().record_answer_elsewhere(content);
     }
 
     /// Records that another node has responded.
@@ -185,21 +159,18 @@
         let view = self.board.view();
         let alive = self.lost_hops.borrow_mut().resolve(now, &view.directory);
         self.retract(&alive);
-        let mut guard = self.guard.borrow_mut();
-        guard.expire(now);
-        self.metrics.set_suspects(guard.table().len());
         let members = &view.directory.members;
-        self.outbox
-            .borrow_mut()
-            .retain(|node| members.contains_key(node));
+        let mut tracker = self.tracker.borrow_mut();
+        tracker.review(now, |node| members.contains_key(node));
+        self.metrics.set_suspects(tracker.table().len());
     }
 
     /// Merges what a node says that sends a request, or that has refused one.
     pub(in crate::traffic) fn merge_ends(&self, content: ContentDigest, ends: &[ServerEnd]) {
-        let news = self.guard.borrow_mut().merge(clock::now(), content, ends);
-        if news {
+        let is_news =
+            !ends.is_empty() && self.update(|tracker| tracker.merge(clock::now(), content, ends));
+        if is_news {
             self.log_suspect(&content, None);
-            self.changed.notify_waiters();
         }
     }
 
@@ -208,54 +179,22 @@
         for record in &news.records {
             self.merge_ends(record.content, &record.ends);
         }
-        let contents: Vec<ContentDigest> =
-            news.records.iter().map(|record| record.content).collect();
-        let now = clock::now();
-        self.outbox
-            .borrow_mut()
-            .push(now, now, &contents, &news.relay);
-        self.queued.notify_one();
+        self.update(|tracker| tracker.relay(clock::now(), news));
     }
 
     /// Returns everything that this node knows.
     pub(in crate::traffic) fn all(&self) -> SuspectNews {
-        SuspectNews {
-            records: self.guard.borrow().table().records(),
-            relay: Vec::new(),
-            informed: self.is_informed(),
-        }
+        self.tracker.borrow().all(clock::now())
     }
 
     /// Returns the letters that are due, each with its message.
     pub(super) fn take_letters(&self) -> Vec<(NewsLetter, SuspectNews)> {
-        let letters = self.outbox.borrow_mut().take_due(clock::now());
-        let guard = self.guard.borrow();
-        let with_news = letters.into_iter().map(|letter| {
-            let records = match &letter.contents {
-                Some(contents) => guard.records(contents.clone()),
-                None => guard.table().records(),
-            };
-            let relay = letter.relay.clone();
-            let informed = self.is_informed();
-            let news = SuspectNews {
-                records,
-                relay,
-                informed,
-            };
-            (letter, news)
-        });
-        with_news.collect()
+        self.tracker.borrow_mut().take_letters(clock::now())
     }
 
     /// Records whether a letter was confirmed.
     pub(super) fn record_delivery(&self, letter: NewsLetter, confirmed: bool) {
-        let now = clock::now();
-        let mut outbox = self.outbox.borrow_mut();
-        match confirmed {
-            true => outbox.confirm(now, &letter),
-            false => outbox.fail(now, letter),
-        }
-        self.queued.notify_one();
+        self.update(|tracker| tracker.record_delivery(clock::now(), letter, confirmed));
         self.delivered.notify_waiters();
     }
 
@@ -263,68 +202,78 @@
     /// first may ask again at any of them, and this process may end.
     pub(in crate::traffic) async fn wait_told(&self) {
         let told = async {
-            while !self.outbox.borrow().is_told(clock::now()) {
+            while !self.tracker.borrow().is_told(clock::now()) {
                 self.delivered.notified().await;
             }
         };
         tokio::time::timeout(MAX_TELLING_WAIT, told).await.ok();
     }
 
-    /// Records that other nodes have told this process what they know, or that there are none.
-    pub(super) fn set_informed(&self) {
-        self.informed.set(true);
-        self.changed.notify_waiters();
+    /// Waits until this process knows what the others know, or has started long enough ago.
+    pub(in crate::traffic) async fn wait_informed(&self) {
+        while !self.tracker.borrow().is_informed(clock::now()) {
+            tokio::time::timeout(INFORMED_POLL_INTERVAL, self.changed())
+                .await
+                .ok();
+        }
     }
 
-    /// Returns whether this process knows what the others know, as far as it could find out.
-    pub(in crate::traffic) fn is_informed(&self) -> bool {
-        self.informed.get() || clock::now().since(self.started) >= MAX_ASKING_WAIT
+    /// Records that another node has told this process what it knows.
+    pub(super) fn set_informed(&self) {
+        self.update(PoisonTracker::set_informed);
     }
 
     /// Waits until a letter is due.
     pub(super) async fn wait_due(&self) {
-        let due = self.outbox.borrow().next_due();
+        let due = self.tracker.borrow().next_due();
         let wait = due.map(|due| due.since(clock::now()));
+        let queued = self.queued.notified();
         match wait {
-            Some(wait) => {
-                tokio::time::timeout(wait, self.queued.notified())
-                    .await
-                    .ok();
-            }
-            None => self.queued.notified().await,
+            Some(wait) => drop(tokio::time::timeout(wait, queued).await),
+            None => queued.await,
+        }
+    }
+
+    fn update<C, T>(&self, change: C) -> T
+    where
+        C: FnOnce(&mut PoisonTracker) -> T,
+    {
+        let result = change(&mut self.tracker.borrow_mut());
+        self.changed.notify_waiters();
+        if self.tracker.borrow().next_due().is_some() {
+            self.queued.notify_one();
         }
+        result
     }
 
     fn retract(&self, alive: &[ServerIncarnation]) {
         for server in alive {
-            let life = server.life();
-            let news = self.guard.borrow_mut().retract_lost(clock::now(), life);
-            self.publish(&news, CLEARING_DELAY);
-            self.changed.notify_waiters();
+            let (life, others) = (server.life(), self.others());
+            self.update(|tracker| tracker.retract_lost(clock::now(), life, &others));
         }
     }
 
-    /// Queues news for all other nodes.
-    fn publish(&self, news: &[SuspectRecord], delay: Duration) {
-        if news.is_empty() {
-            return;
-        }
-        let contents: Vec<ContentDigest> = news.iter().map(|record| record.content).collect();
+    /// Returns the other nodes, beginning after this node's name, so that not every node has the same others pass
+    /// its news on.
+    fn others(&self) -> Vec<NodeName> {
         let view = self.board.view();
-        // Begins after this node's name, so that not every node has the same others pass its news on.
         let members = &view.directory.members;
         let after = members.keys().filter(|node| **node > self.node_name);
         let before = members.keys().filter(|node| **node < self.node_name);
-        let others: Vec<NodeName> = after.chain(before).cloned().collect();
-        let now = clock::now();
-        let due = now + delay;
-        self.outbox.borrow_mut().push(now, due, &contents, &others);
-        self.queued.notify_one();
+        after.chain(before).cloned().collect()
+    }
+
+    /// Returns the other nodes if there may be anything to tell them.
+    fn others_if_suspected(&self) -> Vec<NodeName> {
+        match self.tracker.borrow().table().is_empty() {
+            true => Vec::new(),
+            false => self.others(),
+        }
     }
 
     fn log_suspect(&self, content: &ContentDigest, route: Option<&RouteName>) {
-        let guard = self.guard.borrow();
-        let table = guard.table();
+        let tracker = self.tracker.borrow();
+        let table = tracker.table();
         if !table.suspicion(content).is_poison() {
             return;
         }
--- a/crates/standins/src/backend/work_handler.rs
+++ b/crates/standins/src/backend/work_handler.rs
@@ -24,6 +24,12 @@
 const SILENCE: Duration = Duration::from_secs(60);
 /// The longest that a request without a deadline waits for a slot.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// A path with this part ends the server.
+const ENDING_MARK: &str = "ends-servers";
+/// How long the server works on it before.
+const END_DELAY: Duration = Duration::from_millis(15);
+/// The exit code of a server that ended so.
+const ENDED_CODE: i32 = 3;
 /// The greatest request body, in gibibytes.
 const MOST_BODY_GIB: u64 = 1;
 
@@ -63,6 +69,10 @@
 
     async fn run(&self, arrival: &Arrival, slowness: u32) -> Answer {
         let (run, stop) = self.server.begin(arrival);
+        if arrival.target.contains(ENDING_MARK) {
+            sleep(END_DELAY).await;
+            std::process::exit(ENDED_CODE);
+        }
         let drawn = self.server.draw_time(slowness);
         let time = arrival.work.map_or(drawn, |work| work.max(drawn));
         let cancelled = tokio::select! {
--- a/crates/testutils/src/environment/host.rs
+++ b/crates/testutils/src/environment/host.rs
@@ -176,6 +176,15 @@
         Ok(())
     }
 
+    /// Takes away the backend server if it has ended by itself; returns whether it had.
+    pub fn take_ended_backend(&mut self) -> bool {
+        let ended = self.backend.as_mut().is_some_and(RunningProcess::has_ended);
+        if ended {
+            self.backend = None;
+        }
+        ended
+    }
+
     /// Asks the node for its status.
     pub async fn status(&self) -> Result<NodeStatus, EnvironmentError> {
         self.node()?;
--- a/crates/testutils/src/process/running_process.rs
+++ b/crates/testutils/src/process/running_process.rs
@@ -126,6 +126,11 @@
         ProcessUsage::read(self.id())
     }
 
+    /// Tells whether it has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Kills it and waits until it is gone.
     pub fn kill(&mut self) -> Result<(), ProcessError> {
         self.child.kill().map_err(ProcessError::NotSignalled)?;
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -24,5 +24,7 @@
 pub const AUTHENTICATOR: &str = "quetzalrack-authenticator";
 /// The code of a refusal, so that a node reads it without the body.
 pub const REFUSAL: &str = "quetzalrack-refusal";
+/// The ends of backend servers under the request's content that a node knows, between nodes.
+pub const ENDS: &str = "quetzalrack-ends";
 /// What all of quetzalrack's own headers start with; a caller's are dropped.
 pub const PREFIX: &str = "quetzalrack-";
