--- a/crates/core/src/traffic/poison/poison_guard.rs
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -88,7 +88,7 @@
 
     /// Records that a server answered a request; returns news for the other nodes.
     pub fn record_answer(&mut self, now: Moment, run: RunId) -> Vec<SuspectRecord> {
-        let Some(request) = self.watch.remove(run) else {
+        let Some(request) = self.watch.answered(run) else {
             return Vec::new();
         };
         self.answered.insert(request.content);
@@ -109,7 +109,7 @@
 
     /// Records that a server certainly did not run a request.
     pub fn record_not_run(&mut self, run: RunId) {
-        self.watch.remove(run);
+        self.watch.not_run(run);
     }
 
     /// Records that nobody waits for the answer to a request any more.
--- a/crates/core/src/traffic/poison/poison_tracker.rs
+++ b/crates/core/src/traffic/poison/poison_tracker.rs
@@ -18,8 +18,8 @@
 use crate::ids::RouteName;
 use crate::time::Moment;
 
-/// How long after its start a process waits for what the other nodes know.
-const MAX_ASKING_WAIT: Duration = Duration::from_millis(500);
+/// How long after its start a process waits for what the other nodes know: a new leader hears of them only then.
+const MAX_ASKING_WAIT: Duration = Duration::from_millis(1_500);
 /// How long news that clears a content is held back, so that one message carries several.
 const CLEARING_DELAY: Duration = Duration::from_millis(50);
 
--- a/crates/core/src/traffic/poison/server_watch.rs
+++ b/crates/core/src/traffic/poison/server_watch.rs
@@ -59,8 +59,13 @@
         run
     }
 
-    /// Removes a request that the server answered, or certainly did not run.
-    pub fn remove(&mut self, run: RunId) -> Option<RunningRequest> {
+    /// Removes a request that the server certainly did not run.
+    pub fn not_run(&mut self, run: RunId) {
+        self.running.remove(&run);
+    }
+
+    /// Removes a request that the server answered.
+    pub fn answered(&mut self, run: RunId) -> Option<RunningRequest> {
         let request = self.running.remove(&run)?;
         let newest = self
             .answered
@@ -84,10 +89,12 @@
     /// Records the end of a server; returns what was under way there, each content once.
     pub fn end(&mut self, now: Moment, server: ServerLife) -> Vec<RunningRequest> {
         self.drop_old(now);
-        let running = self
-            .running
-            .extract_if(.., |_, request| request.server == server);
-        let mut ended: Vec<RunningRequest> = running.map(|(_, request)| request).collect();
+        let mut ended = Vec::new();
+        let running = self.running.values_mut();
+        for request in running.filter(|request| request.server == server && !request.ended) {
+            request.ended = true;
+            ended.push(request.clone());
+        }
         let cancelled = self
             .cancelled
             .extract_if(.., |(_, request)| request.server == server);
@@ -112,14 +119,13 @@
 
     /// Returns how many requests of a content are under way.
     pub fn copies(&self, content: &ContentDigest) -> usize {
-        let running = self.running.values();
-        running
-            .filter(|request| request.content == *content)
-            .count()
+        let contents = self.contents();
+        contents.filter(|other| *other == content).count()
     }
 
     /// Returns the contents under way.
     pub fn contents(&self) -> impl Iterator<Item = &ContentDigest> {
-        self.running.values().map(|request| &request.content)
+        let running = self.running.values().filter(|request| !request.ended);
+        running.map(|request| &request.content)
     }
 }
--- /dev/null
+++ b/crates/core/tests/poison.rs
@@ -0,0 +1,232 @@
+//! Requests under which servers end, as one node decides about them.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::time::Duration;
+
+use quetzalrack_core::ids::NodeName;
+use quetzalrack_core::ids::RouteName;
+use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ContentDigest;
+use quetzalrack_core::traffic::poison::NewsOutbox;
+use quetzalrack_core::traffic::poison::PeerQuery;
+use quetzalrack_core::traffic::poison::PoisonGuard;
+use quetzalrack_core::traffic::poison::RunId;
+use quetzalrack_core::traffic::poison::ServerLife;
+use quetzalrack_core::traffic::poison::SuspectTable;
+use quetzalrack_core::traffic::poison::Suspicion;
+use quetzalrack_core::traffic::poison::TrialVerdict;
+use quetzalrack_core::traffic::poison::Witness;
+
+fn at(ms: u64) -> Moment {
+    Moment((1_000_000 + ms) * 1_000_000)
+}
+
+fn content(name: &str) -> ContentDigest {
+    ContentDigest::of([name.as_bytes()])
+}
+
+fn server(number: u64) -> ServerLife {
+    ServerLife::of("server", number)
+}
+
+fn route() -> RouteName {
+    "route".parse().unwrap()
+}
+
+fn nodes(count: usize) -> Vec<NodeName> {
+    let name = |number| format!("node-{number:04}").parse().unwrap();
+    (0..count).map(name).collect()
+}
+
+fn begin(guard: &mut PoisonGuard, ms: u64, on: u64, name: &str) -> RunId {
+    guard.begin(at(ms), server(on), content(name), route())
+}
+
+/// Ends the server while this content alone is under way there.
+fn end_under(guard: &mut PoisonGuard, ms: u64, on: u64, name: &str) {
+    begin(guard, ms, on, name);
+    assert_eq!(guard.record_end(at(ms), server(on)).len(), 1);
+}
+
+/// Guards against a sending after the third end, and against copies under way that make more than three
+/// together with the ends.
+#[test]
+fn three_ends() {
+    let mut guard = PoisonGuard::default();
+    for (ends, servers) in [(1, 2), (2, 1)] {
+        end_under(&mut guard, ends, ends, "guilty");
+        let suspicion = guard.suspicion(&content("guilty"));
+        assert_eq!(suspicion, Suspicion::Suspected { servers });
+        let run = begin(&mut guard, ends, 9, "guilty");
+        assert_eq!(guard.try_send(&content("guilty")), TrialVerdict::Wait);
+        guard.record_not_run(run);
+        assert_eq!(guard.try_send(&content("guilty")), TrialVerdict::Send);
+    }
+    end_under(&mut guard, 3, 3, "guilty");
+    let refused = TrialVerdict::Refuse { certain: true };
+    assert_eq!(guard.try_send(&content("guilty")), refused);
+    assert_eq!(guard.try_send(&content("other")), TrialVerdict::Send);
+}
+
+/// Guards against the conviction of a neighbour that goes down with the guilty one twice, and is then tried
+/// together with it.
+#[test]
+fn neighbour_apart() {
+    let mut guard = PoisonGuard::default();
+    for on in [1, 2] {
+        begin(&mut guard, on, on, "guilty");
+        begin(&mut guard, on, on, "neighbour");
+        assert_eq!(guard.record_end(at(on), server(on)).len(), 2);
+    }
+    let guilty = begin(&mut guard, 3, 3, "guilty");
+    assert_eq!(guard.try_send(&content("neighbour")), TrialVerdict::Wait);
+    assert_eq!(guard.try_send(&content("bystander")), TrialVerdict::Send);
+    guard.record_not_run(guilty);
+    let neighbour = begin(&mut guard, 4, 3, "neighbour");
+    let news = guard.record_answer(at(5), neighbour);
+    assert_eq!(news.len(), 1);
+    assert_eq!(guard.suspicion(&content("neighbour")), Suspicion::None);
+}
+
+/// Guards against the conviction of content that is asked for so often that every server which crashes has some
+/// of it under way.
+#[test]
+fn popular_content() {
+    let mut guard = PoisonGuard::default();
+    let answered = begin(&mut guard, 0, 1, "popular");
+    guard.record_answer(at(1), answered);
+    for on in 1..=4 {
+        begin(&mut guard, 2, on, "popular");
+    }
+    for on in 1..=4 {
+        assert_eq!(guard.record_end(at(3), server(on)).len(), 1);
+    }
+    let tried = Suspicion::Suspected { servers: 1 };
+    assert_eq!(guard.suspicion(&content("popular")), tried);
+    // Now one request at a time shows whether it is guilty.
+    end_under(&mut guard, 4, 5, "popular");
+    assert!(guard.suspicion(&content("popular")).is_poison());
+}
+
+/// Guards against a response that arrives after the end of its server was seen, but was written before.
+#[test]
+fn answered_before_end() {
+    let mut guard = PoisonGuard::default();
+    let answered = begin(&mut guard, 0, 1, "innocent");
+    begin(&mut guard, 0, 1, "guilty");
+    guard.record_end(at(1), server(1));
+    guard.record_answer(at(2), answered);
+    assert_eq!(guard.table().ends_counted(&content("innocent")), 0);
+    assert_eq!(guard.table().ends_counted(&content("guilty")), 1);
+}
+
+/// Guards against a server that hangs and is replaced long after nobody waits for its response any more.
+#[test]
+fn hanging_server() {
+    let mut guard = PoisonGuard::default();
+    let run = begin(&mut guard, 0, 1, "guilty");
+    guard.record_cancelled(at(1_500), run);
+    assert_eq!(guard.record_end(at(9_000), server(1)).len(), 1);
+    // A server that goes on answering others does not hang.
+    let run = begin(&mut guard, 10_000, 2, "innocent");
+    guard.record_cancelled(at(11_000), run);
+    let other = begin(&mut guard, 11_500, 2, "other");
+    guard.record_answer(at(11_600), other);
+    assert_eq!(guard.record_end(at(14_000), server(2)).len(), 0);
+}
+
+/// Guards against nodes that disagree about an end since they heard of it, and of what took it back, in another
+/// order.
+#[test]
+fn any_order() {
+    let mut first = SuspectTable::default();
+    first.record_end(at(0), content("a"), server(1), Witness::Beside, false);
+    let standing = first.ends(&content("a")).to_vec();
+    assert!(first.clear(at(1), &content("a"), &standing));
+    let cleared = first.ends(&content("a")).to_vec();
+    for order in [[&standing, &cleared], [&cleared, &standing]] {
+        let mut other = SuspectTable::default();
+        other.record_end(at(0), content("a"), server(2), Witness::Beside, false);
+        for ends in order {
+            other.merge(at(2), content("a"), ends);
+        }
+        assert_eq!(other.ends_counted(&content("a")), 1);
+    }
+}
+
+/// Guards against a table that grows with the ends of servers, and against one that drops the guilty first.
+#[test]
+fn bounded_table() {
+    let mut table = SuspectTable::default();
+    for on in 0..3 {
+        table.record_end(at(0), content("guilty"), server(on), Witness::Beside, false);
+    }
+    for number in 0..5_000_u64 {
+        let innocent = content(&number.to_string());
+        table.record_end(at(number), innocent, server(9), Witness::Beside, false);
+    }
+    assert_eq!(table.len(), 1_024);
+    assert!(table.suspicion(&content("guilty")).is_poison());
+    table.expire(at(3_700_000));
+    assert!(table.is_empty());
+}
+
+/// Delivers what is due at one node; returns how many letters it sent, and whom they reach in the end.
+fn deliver(outbox: &mut NewsOutbox, now: Moment, away: &NodeName) -> (usize, Vec<NodeName>) {
+    let letters = outbox.take_due(now);
+    let sent = letters.len();
+    let mut reached = Vec::new();
+    for letter in letters {
+        if letter.to == *away {
+            outbox.fail(now, letter);
+            continue;
+        }
+        reached.push(letter.to.clone());
+        reached.extend(letter.relay.clone());
+        outbox.confirm(now, &letter);
+    }
+    (sent, reached)
+}
+
+/// Guards against messages that grow with the fleet, and against a group whose first node is away and passes
+/// nothing on.
+#[test]
+fn large_fleet() {
+    let others = nodes(2_499);
+    let mut outbox = NewsOutbox::default();
+    outbox.push(at(0), at(0), &[content("guilty")], &others);
+    let away = others[0].clone();
+    let (sent, mut reached) = deliver(&mut outbox, at(0), &away);
+    assert_eq!(sent, 32);
+    assert!(!outbox.is_told(at(0)) || reached.len() < others.len());
+    for ms in (100..3_000).step_by(100) {
+        let (sent, more) = deliver(&mut outbox, at(ms), &away);
+        assert!(sent <= 2, "{sent} letters at once");
+        reached.extend(more);
+    }
+    reached.sort();
+    reached.dedup();
+    // Only the one that is away has not been told.
+    assert_eq!(reached.len(), others.len() - 1);
+    let (_, back) = deliver(&mut outbox, at(4_000), &others[1]);
+    assert_eq!(back, vec![away]);
+    assert_eq!(outbox.next_due(), None);
+}
+
+/// Guards against a process that asks only others which have just started as well.
+#[test]
+fn asks_again() {
+    let others = nodes(4);
+    let (own, others) = (&others[0], &others[1..]);
+    let mut query = PeerQuery::new(at(0));
+    let mut asked = Vec::new();
+    while let Some((node, _)) = query.next(own, others) {
+        query.record_answer(&node, node == others[2]);
+        asked.push(node);
+    }
+    assert_eq!(asked[..3], *others);
+    // The informed one is asked once, the others three times.
+    assert_eq!(asked.len(), 7);
+    assert_eq!(query.time_left(at(1)), Some(Duration::from_millis(9_999)));
+}
--- a/crates/node/src/traffic/suspects/known_suspects.rs
+++ b/crates/node/src/traffic/suspects/known_suspects.rs
@@ -150,9 +150,12 @@
         }
     }
 
-    /// Waits until this process knows what the others know, or has started long enough ago.
-    pub(in crate::traffic) async fn wait_informed(&self) {
-        while !self.tracker().is_informed(self.clock.now()) {
+    /// Waits until this process knows what the others know, or has started long enough ago; at most for half of the
+    /// time until `deadline`.
+    pub(in crate::traffic) async fn wait_informed(&self, deadline: Moment) {
+        let start = self.clock.now();
+        let end = start + deadline.since(start) / 2;
+        while !self.tracker().is_informed(self.clock.now()) && self.clock.now() < end {
             let _ = tokio::time::timeout(TRIAL_POLL_INTERVAL, self.changed.notified()).await;
         }
     }
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -275,7 +275,7 @@
 
     async fn attempt(&self, job: &Job, node: &NodeName) -> AttemptReport {
         if *node == self.node_name {
-            self.suspects.wait_informed().await;
+            self.suspects.wait_informed(job.deadline).await;
             return self.egress.serve(job, None).await;
         }
         let view = self.board.view();
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -6,6 +6,7 @@
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::RouteName;
+use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::ContentDigest;
 use quetzalrack_core::traffic::poison::NewsLetter;
 use quetzalrack_core::traffic::poison::PoisonTracker;
@@ -209,9 +210,12 @@
         tokio::time::timeout(MAX_TELLING_WAIT, told).await.ok();
     }
 
-    /// Waits until this process knows what the others know, or has started long enough ago.
-    pub(in crate::traffic) async fn wait_informed(&self) {
-        while !self.tracker.borrow().is_informed(clock::now()) {
+    /// Waits until this process knows what the others know, or has started long enough ago; at most for half of the
+    /// time until `deadline`.
+    pub(in crate::traffic) async fn wait_informed(&self, deadline: Moment) {
+        let start = clock::now();
+        let end = start + deadline.since(start) / 2;
+        while !self.tracker.borrow().is_informed(clock::now()) && clock::now() < end {
             tokio::time::timeout(INFORMED_POLL_INTERVAL, self.changed())
                 .await
                 .ok();
--- a/crates/rack/tests/system/poison_requests.rs
+++ b/crates/rack/tests/system/poison_requests.rs
@@ -278,3 +278,62 @@
     println!("{refused} of {all} innocent requests refused, {served} served");
     assert_eq!(refused, 0);
 }
+
+/// Guards against the refusal of innocent requests, equal ones among them, whose hosts lose power two at a time,
+/// nodes and servers together.
+#[tokio::test(flavor = "multi_thread")]
+async fn innocent_power_losses() {
+    let mut world = start().await;
+    for host in &world.hosts {
+        host.server.set_service_time(Duration::from_millis(60));
+    }
+    let (mut served, mut all) = (0, 0);
+    for round in 0..4_usize {
+        let lost = [round % 4, (round + 1) % 4];
+        let end = Instant::now() + Duration::from_millis(1_600);
+        let before = ask_innocently(&world, Instant::now() + Duration::from_millis(300)).await;
+        for host in lost {
+            world.kill_node(host);
+            world.hosts[host].server.crash();
+        }
+        let during = ask_innocently(&world, end - Duration::from_millis(600)).await;
+        for host in lost {
+            let id = format!("server-{host}-{round}");
+            world.hosts[host].server.restart_as(&id);
+            world.start_node(host);
+        }
+        let after = ask_innocently(&world, end + Duration::from_millis(600)).await;
+        for (more, further) in [before, during, after] {
+            served += more;
+            all += further;
+        }
+    }
+    let refused = innocent_refused(&world);
+    println!("{refused} of {all} innocent requests refused, {served} served");
+    assert_eq!(refused, 0);
+}
+
+/// Guards against the refusal of innocent requests, equal ones among them, during a roll in which each server ends
+/// with requests under way.
+#[tokio::test(flavor = "multi_thread")]
+async fn innocent_roll() {
+    let world = start().await;
+    for host in &world.hosts {
+        host.server.set_service_time(Duration::from_millis(60));
+    }
+    let roll = async {
+        for host in 0..4 {
+            let server = &world.hosts[host].server;
+            server.drain();
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            server.crash();
+            server.restart_as(&format!("server-{host}-rolled"));
+            tokio::time::sleep(Duration::from_millis(900)).await;
+        }
+    };
+    let asked = ask_innocently(&world, Instant::now() + Duration::from_secs(6));
+    let ((served, all), ()) = tokio::join!(asked, roll);
+    let refused = innocent_refused(&world);
+    println!("{refused} of {all} innocent requests refused, {served} served");
+    assert_eq!(refused, 0);
+}
