rack, mesh, rack/tests/soak: suspects are tried at the same few servers, and nothing is sent to a dead port

The soak asks for three contents under which servers end, drawn by the seed (of any server, keyed, once, called by a server), in copies and at random hosts, beside its other faults; it counts by content and reports any other request that is refused for suspicion.

Only nodes without a server are passed over now. - Behind a port that still accepts, requests were sent to an ended server until its next heartbeat and suspected of its end. The port counts as closed once it has closed a connection at once.

A request that ends our own process is no longer taken for harmless because the server went on (lost_hops::process_ended).

--- a/crates/mesh/src/traffic/refusal_reason.rs
+++ b/crates/mesh/src/traffic/refusal_reason.rs
@@ -52,6 +52,23 @@
         (Self::NodeAway, "node_away"),
     ];
 
+    /// Returns whether a usable server stands behind the refusal, which may accept the request a little later.
+    pub fn is_from_server(self) -> bool {
+        match self {
+            Self::NotOwner
+            | Self::Full
+            | Self::Expired
+            | Self::ServerRefused
+            | Self::Suspected
+            | Self::Poison => true,
+            Self::NoServer
+            | Self::NoDocument
+            | Self::Draining
+            | Self::Unreachable
+            | Self::NodeAway => false,
+        }
+    }
+
     /// Returns the reason's name in logs, in metrics and in messages between nodes.
     pub fn name(self) -> &'static str {
         let found = Self::ALL.iter().find(|(reason, _)| *reason == self);
--- a/crates/mesh/src/traffic/suspects/lost_hops.rs
+++ b/crates/mesh/src/traffic/suspects/lost_hops.rs
@@ -8,7 +8,6 @@
 
 use crate::model::ServerIncarnation;
 use crate::ownership::Directory;
-use crate::ownership::Member;
 
 /// How many are remembered.
 const MAX_LOST: usize = 256;
@@ -31,7 +30,7 @@
     pub at: Moment,
 }
 
-/// Finds out afterwards which servers did not end.
+/// Finds out afterwards which requests were lost on their way only.
 #[derive(Clone, Debug, Default)]
 pub struct LostHops {
     lost: VecDeque<LostHop>,
@@ -41,9 +40,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
     Unknown,
-    /// The node beside the server will have noticed, or the server runs.
+    /// The node's process went on and has seen itself whether its server ended.
     NotLost,
-    /// Another server runs there.
+    /// Another process of the node runs: the one before may have ended under the request itself.
     Ended,
 }
 
@@ -81,7 +80,7 @@
         found
     }
 
-    /// Looks the lost nodes up in the directory; returns the servers that did not end.
+    /// Looks the lost nodes up in the directory; returns the servers beside those whose processes went on.
     pub fn resolve(&mut self, now: Moment, directory: &Directory) -> Vec<ServerIncarnation> {
         let mut found = Vec::new();
         self.lost.retain(|lost| match fate(now, lost, directory) {
@@ -100,23 +99,11 @@
     let Some(entry) = directory.members.get(&lost.node) else {
         return Fate::Unknown;
     };
-    let Member {
-        incarnation,
-        server,
-        ..
-    } = &entry.member;
-    let is_same_process = incarnation.nonce == lost.nonce;
-    if is_same_process {
-        let is_alive = entry.responsive && now.since(lost.at) >= NOTICE_TIME;
-        return if is_alive {
-            Fate::NotLost
-        } else {
-            Fate::Unknown
-        };
-    }
-    match server {
-        None => Fate::Unknown,
-        Some(server) if server.incarnation == lost.server => Fate::NotLost,
-        Some(_) => Fate::Ended,
+    let is_same_process = entry.member.incarnation.nonce == lost.nonce;
+    let is_alive = entry.responsive && now.since(lost.at) >= NOTICE_TIME;
+    match (is_same_process, is_alive) {
+        (false, _) => Fate::Ended,
+        (true, true) => Fate::NotLost,
+        (true, false) => Fate::Unknown,
     }
 }
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -200,14 +200,22 @@
                 self.refused_at.set(Some(clock::now()));
                 return Some(EndSign::Refused);
             }
-            Err(DialError::TimedOut | DialError::Io(_)) => return Some(EndSign::Silent),
+            Err(DialError::TimedOut | DialError::Io(_)) => {
+                self.refused_at.set(Some(clock::now()));
+                return Some(EndSign::Silent);
+            }
         };
         if self.pool.is_connected_since(noticed) {
             return None;
         }
         // The server has nothing to say on this connection, so that it becomes readable by its end alone.
         let closed = tokio::time::timeout(LOOK_TIME, stream.readable()).await;
-        (closed.is_ok() && !self.pool.is_connected_since(noticed)).then_some(EndSign::Closed)
+        if closed.is_err() || self.pool.is_connected_since(noticed) {
+            return None;
+        }
+        // Requests sent there meanwhile would be lost, and suspected of an end that they have no part in.
+        self.refused_at.set(Some(clock::now()));
+        Some(EndSign::Closed)
     }
 
     /// Returns how many connections were opened so far.
--- a/crates/rack/src/traffic/ingress/attempts.rs
+++ b/crates/rack/src/traffic/ingress/attempts.rs
@@ -16,6 +16,8 @@
 /// The state of all attempts to serve one request.
 pub(super) struct Attempts {
     pub(super) tried_nodes: Vec<NodeName>,
+    /// The nodes that have certainly no usable server now.
+    pub(super) without_server: Vec<NodeName>,
     /// How many attempts reached a backend server.
     pub(super) sent_count: u32,
     /// Why the last attempt without a response was lost, if one was; it may have run.
@@ -36,6 +38,7 @@
     pub(super) fn new() -> Self {
         Self {
             tried_nodes: Vec::new(),
+            without_server: Vec::new(),
             sent_count: 0,
             lost: None,
             response: None,
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -208,10 +208,7 @@
             let hinted = attempts.hinted_owner.take();
             let next = match hinted.filter(|node| !leaving.contains(node)) {
                 Some(node) => Placement::Node(node),
-                None => {
-                    let tried = &attempts.tried_nodes;
-                    self.choose_node(now, &view, job, tried, &leaving)
-                }
+                None => self.choose_node(now, &view, job, &attempts, &leaving),
             };
             let node = match next {
                 Placement::Node(node) => node,
--- a/crates/rack/src/traffic/ingress/placement.rs
+++ b/crates/rack/src/traffic/ingress/placement.rs
@@ -10,6 +10,7 @@
 use quetzalrack_mesh::traffic::suspects::trial_nodes;
 
 use super::Ingress;
+use super::attempts::Attempts;
 use crate::shared::Board;
 use crate::shared::NodeView;
 use crate::traffic::hop::HopClient;
@@ -41,7 +42,7 @@
         now: Moment,
         view: &NodeView,
         job: &Job,
-        tried_nodes: &[NodeName],
+        attempts: &Attempts,
         leaving: &[NodeName],
     ) -> Placement {
         match job.key {
@@ -52,8 +53,9 @@
                 }
             }
             _ => {
-                let mut avoided = [tried_nodes, leaving].concat();
-                avoided.extend(self.outside_trial(view, job, &avoided));
+                let unusable = [attempts.without_server.as_slice(), leaving].concat();
+                let mut avoided = [attempts.tried_nodes.as_slice(), leaving].concat();
+                avoided.extend(self.outside_trial(view, job, &unusable));
                 let mut balancer = self.balancer.borrow_mut();
                 let chosen =
                     balancer.choose(now, &view.directory, &job.service, &job.route, &avoided);
@@ -62,14 +64,15 @@
         }
     }
 
-    /// Returns the nodes that are not to get a job, since its content is suspected and tried at a few others.
-    fn outside_trial(&self, view: &NodeView, job: &Job, avoided: &[NodeName]) -> Vec<NodeName> {
+    /// Returns the nodes that are not to get a job, since its content is suspected and tried at a few others. One
+    /// of those that refuses for a while is not replaced: copies of the content may be under way there.
+    fn outside_trial(&self, view: &NodeView, job: &Job, unusable: &[NodeName]) -> Vec<NodeName> {
         let Suspicion::Suspected { servers } = self.suspects.suspicion(&job.content) else {
             return Vec::new();
         };
         let ends = self.suspects.ends(&job.content);
         let ranked = trial_nodes(&view.directory, &job.service, &job.content, &ends);
-        let usable = ranked.into_iter().filter(|node| !avoided.contains(node));
+        let usable = ranked.into_iter().filter(|node| !unusable.contains(node));
         usable.skip(servers).cloned().collect()
     }
 }
--- a/crates/rack/src/traffic/ingress/retrying.rs
+++ b/crates/rack/src/traffic/ingress/retrying.rs
@@ -68,6 +68,9 @@
                 !self.has_owner(job) && attempts.tried_nodes.len() < MAX_TRIED_NODES
             }
             Outcome::NotRun(reason, retry_after) => {
+                if !reason.is_from_server() {
+                    attempts.without_server.push(node.clone());
+                }
                 attempts.record_refusal(reason, retry_after);
                 if job.key.is_some()
                     && reason != RefusalReason::Full
--- a/crates/rack/tests/soak/fleet.rs
+++ b/crates/rack/tests/soak/fleet.rs
@@ -20,6 +20,7 @@
 
 use crate::clients::Clients;
 use crate::clients::HostEndpoint;
+use crate::poison::PoisonClients;
 use crate::script;
 use crate::script::Fault;
 use crate::script::Link;
@@ -36,6 +37,8 @@
 use crate::support::settings;
 
 const CLIENT_COUNT: u64 = 24;
+/// How many contents end servers.
+const POISON_COUNT: u64 = 3;
 /// Service time of a request.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 /// Time limit for serving everything after the start and after the last fault: establishing a new
@@ -199,7 +202,18 @@
         let running =
             (0..CLIENT_COUNT).map(|number| tokio::spawn(Arc::clone(&clients).run(number)));
         let running: Vec<_> = running.collect();
+        let poison = PoisonClients::new(self.seed, self.endpoints.clone());
+        let asking = (0..POISON_COUNT).map(|number| tokio::spawn(Arc::clone(&poison).run(number)));
+        let asking: Vec<_> = asking.collect();
         self.run_script().await;
+        poison.end();
+        for client in asking {
+            let statuses = client.await.unwrap();
+            println!(
+                "seed {}: statuses of a marked content {statuses:?}",
+                self.seed
+            );
+        }
         let took = self
             .wait_until_served(&clients, "after the last fault")
             .await;
@@ -214,6 +228,13 @@
         for violation in self.truth.notices.violations() {
             self.truth.record_violation(violation);
         }
+        for violation in self.truth.contents.violations(Duration::ZERO) {
+            self.truth.record_violation(violation);
+        }
+        for line in self.innocent_refusals() {
+            self.truth
+                .record_violation(format!("refused for suspicion: {line}"));
+        }
         let (served, all) = clients.served();
         println!(
             "seed {}: {served} of {all} served, settled after {took:?}",
@@ -441,6 +462,7 @@
             return;
         }
         self.hosts[index].removed.store(true, Ordering::Relaxed);
+        self.hosts[index].server.set_restarts(false);
         self.kill(index);
         self.set_stream(index, Link::Server, refusing());
         self.stream(index, Link::Server).cut();
@@ -450,6 +472,9 @@
     fn kill(&mut self, index: usize) {
         self.record_disturbance(index);
         self.hosts[index].process = None;
+        if self.hosts.iter().all(|host| host.process.is_none()) {
+            self.truth.contents.forget_ends();
+        }
     }
 
     fn start_node(&mut self, index: usize) {
--- a/crates/rack/tests/soak/lines.rs
+++ b/crates/rack/tests/soak/lines.rs
@@ -33,6 +33,21 @@
         downtimes
     }
 
+    /// Returns the lines of requests that were refused for suspicion, other than those of marked contents.
+    pub fn innocent_refusals(&self) -> Vec<Value> {
+        let lines = self.hosts.iter().flat_map(|host| {
+            let lines = host.lines.lock().unwrap();
+            let refused = lines.iter().filter(|line| {
+                let why = line["why"].as_str();
+                matches!(why, Some("poison" | "suspected")) && line["event"] == "not_served"
+            });
+            refused.cloned().collect::<Vec<_>>()
+        });
+        lines
+            .filter(|line| !line["id"].to_string().contains("ends-servers"))
+            .collect()
+    }
+
     /// Keeps the logs for the analysis of a failed run.
     pub fn keep_logs(&self) {
         let lines = self.hosts.iter().map(|host| &host.lines);
--- a/crates/rack/tests/soak/main.rs
+++ b/crates/rack/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod clients;
 mod fleet;
 mod lines;
+mod poison;
 mod script;
 
 use std::sync::Mutex;
@@ -51,9 +52,10 @@
 
 /// Guards against violated guarantees under overlapping series of faults: processes and servers are
 /// killed, paused, shut down and restarted; connections are delayed, cut, reset and silenced; the
-/// store is unavailable, slow or does not confirm appends. No caller receives another's response,
-/// no non-idempotent request runs twice, "not run" is true, no key has two holders, and everything
-/// is served again soon after the last fault.
+/// store is unavailable, slow or does not confirm appends; servers end under marked contents. No caller receives another's response,
+/// no non-idempotent request runs twice, "not run" is true, no key has two holders, no
+/// content is sent after the third server has ended under it, no other is refused for suspicion, and everything is
+/// served again soon after the last fault.
 #[test]
 fn random_faults() {
     let first = setting("FIRST", DEFAULT_FIRST_SEED);
--- a/crates/rack/tests/system/support/content_checker.rs
+++ b/crates/rack/tests/system/support/content_checker.rs
@@ -69,6 +69,14 @@
         record.ends.push((Instant::now(), server.to_owned()));
     }
 
+    /// Forgets all ends: no process runs that could know of them.
+    pub fn forget_ends(&self) {
+        let mut contents = self.contents.lock().unwrap();
+        for record in contents.values_mut() {
+            record.ends.clear();
+        }
+    }
+
     /// Returns the records of the contents under which servers end whose URI has this part.
     pub fn marked(&self, part: &str) -> Vec<ContentRecord> {
         let contents = self.contents.lock().unwrap();
