core: popular content is not convicted by the end of another's server

Two servers had crashed with it under way, so it was tried at one, and that one ended under a new poison request beside it.

The ends under content that had been answered count as one towards its conviction, two more have to follow while it is tried, no other suspect is under way during such a trial (before: none with two ends), and a conviction of such content holds for a minute. poison::popular_content and ::neighbour_apart check each.

--- a/crates/core/src/traffic/poison/poison_guard.rs
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -43,26 +43,30 @@
     }
 
     /// Returns how strongly a content is suspected.
-    pub fn suspicion(&self, content: &ContentDigest) -> Suspicion {
-        self.table.suspicion(content)
+    pub fn suspicion(&self, now: Moment, content: &ContentDigest) -> Suspicion {
+        self.table.suspicion(now, content)
     }
 
     /// Decides whether a request may be sent to the server beside this node.
     ///
-    /// The innocent that were under way with a guilty one must not be retried together with it again: before
-    /// the end that convicts, a suspect has no other such suspect beside it.
-    pub fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        let suspicion = self.table.suspicion(content);
-        let is_under_way = || self.watch.copies(content) > 0;
-        let is_crowded = || {
-            let mut others = self.watch.contents();
-            others.any(|other| self.table.suspicion(other).is_last_trial())
+    /// The innocent that were under way with a guilty one must not be retried together with it again: during the
+    /// trial that may convict a content, no other suspect is under way there.
+    pub fn try_send(&self, now: Moment, content: &ContentDigest) -> TrialVerdict {
+        let suspicion = self.table.suspicion(now, content);
+        let under_way = |matches: fn(Suspicion) -> bool| {
+            let mut others = self.watch.contents().filter(|other| *other != content);
+            others.any(|other| matches(self.table.suspicion(now, other)))
         };
         match suspicion {
             Suspicion::None => TrialVerdict::Send,
             Suspicion::Poison { certain } => TrialVerdict::Refuse { certain },
-            Suspicion::Suspected { .. } if is_under_way() => TrialVerdict::Wait,
-            last if last.is_last_trial() && is_crowded() => TrialVerdict::Wait,
+            Suspicion::Suspected { .. } if self.watch.copies(content) > 0 => TrialVerdict::Wait,
+            last if last.is_last_trial() && under_way(Suspicion::is_suspected) => {
+                TrialVerdict::Wait
+            }
+            Suspicion::Suspected { .. } if under_way(Suspicion::is_last_trial) => {
+                TrialVerdict::Wait
+            }
             Suspicion::Suspected { .. } => TrialVerdict::Send,
         }
     }
@@ -81,7 +85,7 @@
             content,
             route,
             known: self.table.ends(&content).to_vec(),
-            is_last_trial: self.table.suspicion(&content).is_last_trial(),
+            is_last_trial: self.table.suspicion(now, &content).is_last_trial(),
             ended: false,
         })
     }
--- a/crates/core/src/traffic/poison/poison_tracker.rs
+++ b/crates/core/src/traffic/poison/poison_tracker.rs
@@ -50,8 +50,8 @@
     }
 
     /// Decides whether a request may be sent to the server beside this node.
-    pub fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        self.guard.try_send(content)
+    pub fn try_send(&self, now: Moment, content: &ContentDigest) -> TrialVerdict {
+        self.guard.try_send(now, content)
     }
 
     /// Records that a request is about to be written to a server.
--- a/crates/core/src/traffic/poison/suspect_table.rs
+++ b/crates/core/src/traffic/poison/suspect_table.rs
@@ -14,6 +14,9 @@
 
 /// How long a content is remembered after the last news of it.
 const RETENTION: Duration = Duration::from_secs(60 * 60);
+/// How long content that had been answered before its servers ended is refused before it is tried once more: it
+/// may be innocent, and many ask for it.
+const RETRIAL_TIME: Duration = Duration::from_secs(60);
 /// How many contents are remembered: two for each slot of some fifty servers that end within the hour.
 const MAX_CONTENTS: usize = 1_024;
 /// How many ends are remembered for each content.
@@ -33,9 +36,9 @@
 
 impl SuspectTable {
     /// Returns how strongly a content is suspected.
-    pub fn suspicion(&self, content: &ContentDigest) -> Suspicion {
+    pub fn suspicion(&self, now: Moment, content: &ContentDigest) -> Suspicion {
         let suspect = self.contents.get(content);
-        suspect.map_or(Suspicion::None, Suspect::suspicion)
+        suspect.map_or(Suspicion::None, |suspect| suspect.suspicion(now))
     }
 
     /// Returns the ends under a content.
@@ -217,7 +220,17 @@
         self.ends.iter().filter(|end| end.is_standing())
     }
 
-    fn suspicion(&self) -> Suspicion {
+    fn suspicion(&self, now: Moment) -> Suspicion {
+        let was_answered = self.standing().any(|end| end.answered_before);
+        match self.judge() {
+            Suspicion::Poison { .. } if was_answered && now.since(self.changed) >= RETRIAL_TIME => {
+                Suspicion::LAST_TRIAL
+            }
+            suspicion => suspicion,
+        }
+    }
+
+    fn judge(&self) -> Suspicion {
         let judge = |ends: &[&ServerEnd], certain| {
             let servers: BTreeSet<ServerLife> = ends.iter().map(|end| end.server).collect();
             let unanswered: BTreeSet<ServerLife> = ends
--- a/crates/core/src/traffic/poison/suspicion.rs
+++ b/crates/core/src/traffic/poison/suspicion.rs
@@ -26,13 +26,13 @@
     /// before, and under one that had.
     ///
     /// Of popular content many requests are under way at many servers, so that servers which end together for
-    /// another reason all end under it. Together such ends never convict; only one that follows after the content
-    /// was sent to one server at a time does.
+    /// another reason all end under it. Two such ends have it tried at one server, one request at a time, but all
+    /// together count as one towards its conviction: two more have to follow in that state.
     pub(super) fn of(unanswered: usize, answered: usize, certain: bool) -> Self {
         let ends = match (unanswered, answered) {
             (0, 0 | 1) => 0,
             (0, _) => MAX_ENDS - 1,
-            (unanswered, answered) => unanswered + answered.min(MAX_ENDS - 1),
+            (unanswered, answered) => unanswered + answered.min(1),
         };
         match ends {
             0 => Self::None,
@@ -43,9 +43,17 @@
         }
     }
 
+    /// One server may work on one request: the next end convicts.
+    pub const LAST_TRIAL: Self = Self::Suspected { servers: 1 };
+
     /// Returns whether the next end convicts.
     pub fn is_last_trial(self) -> bool {
-        self == Self::Suspected { servers: 1 }
+        self == Self::LAST_TRIAL
+    }
+
+    /// Returns whether the content is tried at a few servers.
+    pub fn is_suspected(self) -> bool {
+        matches!(self, Self::Suspected { .. })
     }
 
     /// Returns whether requests of the content are not to be sent.
--- a/crates/node/src/traffic/suspects/known_suspects.rs
+++ b/crates/node/src/traffic/suspects/known_suspects.rs
@@ -100,7 +100,8 @@
     /// Returns how strongly a content is suspected.
     pub(in crate::traffic) fn suspicion(&self, content: Option<&ContentDigest>) -> Suspicion {
         content.map_or(Suspicion::None, |content| {
-            self.tracker().table().suspicion(content)
+            let now = self.clock.now();
+            self.tracker().table().suspicion(now, content)
         })
     }
 
@@ -169,7 +170,7 @@
     ) -> Result<SuspectRun, TrialVerdict> {
         let now = self.clock.now();
         let mut tracker = self.tracker();
-        match tracker.try_send(&content) {
+        match tracker.try_send(now, &content) {
             TrialVerdict::Send => Ok(SuspectRun {
                 suspects: Arc::clone(self),
                 id: tracker.begin(now, server, content, route),
@@ -283,7 +284,7 @@
     }
 
     fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        self.tracker().try_send(content)
+        self.tracker().try_send(self.clock.now(), content)
     }
 
     fn record_answer(&self, run: RunId) {
@@ -326,7 +327,8 @@
     /// Logs a content that is not sent any more, at the node that noticed its last end.
     fn log_suspect(&self, content: &ContentDigest, route: &RouteName) {
         let tracker = self.tracker();
-        if !tracker.table().suspicion(content).is_poison() {
+        let suspicion = tracker.table().suspicion(self.clock.now(), content);
+        if !suspicion.is_poison() {
             return;
         }
         log::warn!(
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -63,7 +63,8 @@
 
     /// Returns how strongly a content is suspected.
     pub(in crate::traffic) fn suspicion(&self, content: &ContentDigest) -> Suspicion {
-        self.tracker.borrow().table().suspicion(content)
+        let tracker = self.tracker.borrow();
+        tracker.table().suspicion(clock::now(), content)
     }
 
     /// Returns the ends of servers under a content.
@@ -87,7 +88,7 @@
 
     /// Decides whether a request may be sent to the server beside this node.
     pub(in crate::traffic) fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        self.tracker.borrow().try_send(content)
+        self.tracker.borrow().try_send(clock::now(), content)
     }
 
     /// Waits until a verdict may have changed.
@@ -284,7 +285,7 @@
     fn log_suspect(&self, content: &ContentDigest, route: &RouteName) {
         let tracker = self.tracker.borrow();
         let table = tracker.table();
-        if !table.suspicion(content).is_poison() {
+        if !table.suspicion(clock::now(), content).is_poison() {
             return;
         }
         let ends = table.ends(content).iter().filter(|end| end.is_standing());
