core, rack, node: one type a file, smaller files around the poison requests

Moved, nothing decided anew: verdict, witness, letter, run id and running request have files of their own; the node's suspects, the server client, the pool, the ingress and the egress are split; the tracker no longer repeats the calls of the guard.

--- a/crates/core/src/traffic/poison/news_outbox.rs
+++ b/crates/core/src/traffic/poison/news_outbox.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::ContentDigest;
+use super::NewsLetter;
 use crate::ids::NodeName;
 use crate::time::Moment;
 
@@ -20,17 +21,6 @@
 /// How long a node that does not confirm is told: a cut that lasts longer ends in requests that carry the news.
 const MAX_TELLING_TIME: Duration = Duration::from_secs(60);
 
-/// News for one node.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NewsLetter {
-    /// The node.
-    pub to: NodeName,
-    /// The contents of which it is to be told; none stands for all.
-    pub contents: Option<Vec<ContentDigest>>,
-    /// The nodes to which it is to pass the news on.
-    pub relay: Vec<NodeName>,
-}
-
 /// Keeps what each node has not confirmed.
 #[derive(Clone, Debug, Default)]
 pub struct NewsOutbox {
--- a/crates/core/src/traffic/poison/poison_guard.rs
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -10,24 +10,11 @@
 use super::SuspectRecord;
 use super::SuspectTable;
 use super::Suspicion;
+use super::TrialVerdict;
 use super::Witness;
 use crate::ids::RouteName;
 use crate::time::Moment;
 
-/// Whether a request may be sent to the backend server now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TrialVerdict {
-    /// It may.
-    Send,
-    /// Another suspect is under way there.
-    Wait,
-    /// It may not: servers end under it.
-    Refuse {
-        /// Whether the nodes beside the servers have seen the ends.
-        certain: bool,
-    },
-}
-
 /// One node's knowledge of suspected contents, and of what is under way at the server beside it.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonGuard {
--- a/crates/core/src/traffic/poison/poison_tracker.rs
+++ b/crates/core/src/traffic/poison/poison_tracker.rs
@@ -8,14 +8,10 @@
 use super::PoisonGuard;
 use super::RunId;
 use super::RunningRequest;
-use super::ServerEnd;
 use super::ServerLife;
 use super::SuspectNews;
 use super::SuspectRecord;
-use super::SuspectTable;
-use super::TrialVerdict;
 use crate::ids::NodeName;
-use crate::ids::RouteName;
 use crate::time::Moment;
 
 /// How long after its start a process waits for what the other nodes know: a new leader hears of them only then.
@@ -44,25 +40,14 @@
         }
     }
 
-    /// Returns the table of suspected contents.
-    pub fn table(&self) -> &SuspectTable {
-        self.guard.table()
+    /// Returns what is known.
+    pub fn guard(&self) -> &PoisonGuard {
+        &self.guard
     }
 
-    /// Decides whether a request may be sent to the server beside this node.
-    pub fn try_send(&self, now: Moment, content: &ContentDigest) -> TrialVerdict {
-        self.guard.try_send(now, content)
-    }
-
-    /// Records that a request is about to be written to a server.
-    pub fn begin(
-        &mut self,
-        now: Moment,
-        server: ServerLife,
-        content: ContentDigest,
-        route: RouteName,
-    ) -> RunId {
-        self.guard.begin(now, server, content, route)
+    /// Returns what is known, for changes of which the other nodes need not hear.
+    pub fn guard_mut(&mut self) -> &mut PoisonGuard {
+        &mut self.guard
     }
 
     /// Records that a server answered a request.
@@ -71,21 +56,6 @@
         self.publish(now, CLEARING_DELAY, &news, others);
     }
 
-    /// Records that a request was answered by way of another node.
-    pub fn record_answer_elsewhere(&mut self, content: ContentDigest) {
-        self.guard.record_answer_elsewhere(content);
-    }
-
-    /// Records that a server certainly did not run a request.
-    pub fn record_not_run(&mut self, run: RunId) {
-        self.guard.record_not_run(run);
-    }
-
-    /// Records that nobody waits for the answer to a request any more.
-    pub fn record_cancelled(&mut self, now: Moment, run: RunId) {
-        self.guard.record_cancelled(now, run);
-    }
-
     /// Records the end of the server beside this node; returns what was under way there.
     pub fn record_end(
         &mut self,
@@ -125,11 +95,6 @@
         self.publish(now, CLEARING_DELAY, &news, others);
     }
 
-    /// Merges what another node knows of a content; returns whether that is news.
-    pub fn merge(&mut self, now: Moment, content: ContentDigest, ends: &[ServerEnd]) -> bool {
-        self.guard.merge(now, content, ends)
-    }
-
     /// Queues news of another node for those to which it is to be passed on.
     pub fn relay(&mut self, now: Moment, news: &SuspectNews) {
         let contents: Vec<ContentDigest> =
--- a/crates/core/src/traffic/poison/server_end.rs
+++ b/crates/core/src/traffic/poison/server_end.rs
@@ -7,17 +7,7 @@
 use serde::Serialize;
 
 use super::ServerLife;
-
-/// Who noticed that a server ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Serialize, Deserialize)]
-pub enum Witness {
-    /// The node beside the server.
-    Beside,
-    /// The node that sent the request there, as the node beside the server did not report: that one may have
-    /// been lost without its server, so this can be taken back.
-    Sender,
-}
+use super::Witness;
 
 /// One end of a server while a request was under way there.
 ///
--- a/crates/core/src/traffic/poison/server_watch.rs
+++ b/crates/core/src/traffic/poison/server_watch.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use super::ContentDigest;
-use super::ServerEnd;
+use super::RunId;
+use super::RunningRequest;
 use super::ServerLife;
-use crate::ids::RouteName;
 use crate::time::Moment;
 
 /// How long a request that was cancelled or timed out may still be at work at a server that answers others.
@@ -16,29 +16,6 @@
 /// How many such requests are remembered.
 const MAX_CANCELLED: usize = 256;
 
-/// Identifies one sending of a request to a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RunId(pub u64);
-
-/// A request under way at a server.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunningRequest {
-    /// When it was written.
-    pub begun: Moment,
-    /// The server that got it.
-    pub server: ServerLife,
-    /// What it asks for.
-    pub content: ContentDigest,
-    /// Its route.
-    pub route: RouteName,
-    /// The ends of servers under its content that were known when it was sent.
-    pub known: Vec<ServerEnd>,
-    /// Whether it is the only suspect at the server, so that the server's end convicts.
-    pub is_last_trial: bool,
-    /// Whether the server has ended under it.
-    pub ended: bool,
-}
-
 /// Tracks the requests that were written to one host's backend server and are not answered.
 #[derive(Clone, Debug, Default)]
 pub struct ServerWatch {
--- a/crates/node/src/traffic/suspects/known_suspects.rs
+++ b/crates/node/src/traffic/suspects/known_suspects.rs
@@ -20,58 +20,24 @@
 use quetzalrack_core::traffic::poison::ServerLife;
 use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_core::traffic::poison::Suspicion;
-use quetzalrack_core::traffic::poison::TrialVerdict;
-use quetzalrack_core::traffic::refusal::RefusalCode;
 use tokio::sync::Notify;
 
 use crate::shared::SharedView;
 
 /// How long the outcome of a request waits until the other nodes have heard of the end under it.
 const MAX_TELLING_WAIT: Duration = Duration::from_millis(25);
-/// The longest wait for another suspect.
-const MAX_TRIAL_WAIT: Duration = Duration::from_secs(1);
-/// The share of the time left that a request may wait for another suspect.
-const TRIAL_WAIT_SHARE: u32 = 2;
-/// How often the verdict is looked up while nothing seems to change.
-const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Shared by the requests of this node's callers and those for the server beside it.
 pub(in crate::traffic) struct Suspects {
     node: NodeName,
-    clock: Arc<dyn Clock>,
+    pub(super) clock: Arc<dyn Clock>,
     view: Arc<SharedView>,
     tracker: Mutex<PoisonTracker>,
-    changed: Notify,
+    pub(super) changed: Notify,
     queued: Notify,
     delivered: Notify,
 }
 
-/// A request under way at the server; dropping it means that nobody waits for its response any more.
-pub(in crate::traffic) struct SuspectRun {
-    suspects: Arc<Suspects>,
-    id: RunId,
-}
-
-impl SuspectRun {
-    /// Records that the server responded.
-    pub(in crate::traffic) fn answered(self) {
-        self.suspects.record_answer(self.id);
-    }
-
-    /// Records that the server certainly did not run the request.
-    pub(in crate::traffic) fn not_run(self) {
-        self.suspects
-            .update(|_, tracker| tracker.record_not_run(self.id));
-    }
-}
-
-impl Drop for SuspectRun {
-    fn drop(&mut self) {
-        self.suspects
-            .update(|now, tracker| tracker.record_cancelled(now, self.id));
-    }
-}
-
 impl Suspects {
     pub(in crate::traffic) fn new(
         node: NodeName,
@@ -101,19 +67,21 @@
     pub(in crate::traffic) fn suspicion(&self, content: Option<&ContentDigest>) -> Suspicion {
         content.map_or(Suspicion::None, |content| {
             let now = self.clock.now();
-            self.tracker().table().suspicion(now, content)
+            self.tracker().guard().table().suspicion(now, content)
         })
     }
 
     /// Returns the ends of servers under a content.
     pub(in crate::traffic) fn ends(&self, content: Option<&ContentDigest>) -> Vec<ServerEnd> {
-        let ends = content.map(|content| self.tracker().table().ends(content).to_vec());
+        let ends = content.map(|content| self.tracker().guard().table().ends(content).to_vec());
         ends.unwrap_or_default()
     }
 
     /// Returns how many servers ended under a content.
     pub(in crate::traffic) fn ends_counted(&self, content: Option<&ContentDigest>) -> usize {
-        content.map_or(0, |content| self.tracker().table().ends_counted(content))
+        content.map_or(0, |content| {
+            self.tracker().guard().table().ends_counted(content)
+        })
     }
 
     /// Returns whether a node that knows these ends knows all that count here.
@@ -122,61 +90,7 @@
         content: &ContentDigest,
         told: &[ServerEnd],
     ) -> bool {
-        self.tracker().table().is_covered(content, told)
-    }
-
-    /// Waits until a request may be sent to the server as far as its content is concerned.
-    pub(in crate::traffic) async fn wait_for_trial(
-        &self,
-        content: Option<&ContentDigest>,
-        deadline: Moment,
-    ) -> Result<(), RefusalCode> {
-        let Some(content) = content else {
-            return Ok(());
-        };
-        let start = self.clock.now();
-        let end = start + MAX_TRIAL_WAIT.min(deadline.since(start) / TRIAL_WAIT_SHARE);
-        loop {
-            match self.try_send(content) {
-                TrialVerdict::Send => return Ok(()),
-                TrialVerdict::Refuse { .. } => return Err(RefusalCode::PoisonRequest),
-                TrialVerdict::Wait if self.clock.now() >= end => {
-                    return Err(RefusalCode::Suspected);
-                }
-                TrialVerdict::Wait => {
-                    let _ =
-                        tokio::time::timeout(TRIAL_POLL_INTERVAL, self.changed.notified()).await;
-                }
-            }
-        }
-    }
-
-    /// Waits until this process knows what the others know, or has started long enough ago; at most for half of the
-    /// time until `deadline`.
-    pub(in crate::traffic) async fn wait_informed(&self, deadline: Moment) {
-        let start = self.clock.now();
-        let end = start + deadline.since(start) / 2;
-        while !self.tracker().is_informed(self.clock.now()) && self.clock.now() < end {
-            let _ = tokio::time::timeout(TRIAL_POLL_INTERVAL, self.changed.notified()).await;
-        }
-    }
-
-    /// Records that a request is about to be written to the server, unless another suspect has to end first.
-    pub(in crate::traffic) fn try_begin(
-        self: &Arc<Self>,
-        server: ServerLife,
-        content: ContentDigest,
-        route: RouteName,
-    ) -> Result<SuspectRun, TrialVerdict> {
-        let now = self.clock.now();
-        let mut tracker = self.tracker();
-        match tracker.try_send(now, &content) {
-            TrialVerdict::Send => Ok(SuspectRun {
-                suspects: Arc::clone(self),
-                id: tracker.begin(now, server, content, route),
-            }),
-            verdict => Err(verdict),
-        }
+        self.tracker().guard().table().is_covered(content, told)
     }
 
     /// Records the end of the server beside this node, and returns what was under way there.
@@ -209,7 +123,7 @@
     /// Records that the node responds that requests were lost with: it will have noticed itself whether its server
     /// ended.
     pub(in crate::traffic) fn record_contact(&self, member: &Member) {
-        if self.tracker().table().is_empty() {
+        if self.tracker().guard().table().is_empty() {
             return;
         }
         let (life, others) = (node_life(member), self.others());
@@ -218,13 +132,13 @@
 
     /// Records that a request was answered by way of another node.
     pub(in crate::traffic) fn record_answer_elsewhere(&self, content: ContentDigest) {
-        self.tracker().record_answer_elsewhere(content);
+        self.tracker().guard_mut().record_answer_elsewhere(content);
     }
 
     /// Merges what a node says that sends a request, or that has refused one.
     pub(in crate::traffic) fn merge_ends(&self, content: &ContentDigest, ends: &[ServerEnd]) {
         if !ends.is_empty() {
-            self.update(|now, tracker| tracker.merge(now, *content, ends));
+            self.update(|now, tracker| tracker.guard_mut().merge(now, *content, ends));
         }
     }
 
@@ -283,19 +197,15 @@
             .review(now, |node| routing.nodes.contains_key(node));
     }
 
-    fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        self.tracker().try_send(self.clock.now(), content)
-    }
-
-    fn record_answer(&self, run: RunId) {
-        let others = match self.tracker().table().is_empty() {
+    pub(super) fn record_answer(&self, run: RunId) {
+        let others = match self.tracker().guard().table().is_empty() {
             true => Vec::new(),
             false => self.others(),
         };
         self.update(|now, tracker| tracker.record_answer(now, run, &others));
     }
 
-    fn update<C, T>(&self, change: C) -> T
+    pub(super) fn update<C, T>(&self, change: C) -> T
     where
         C: FnOnce(Moment, &mut PoisonTracker) -> T,
     {
@@ -320,20 +230,20 @@
         after.chain(before).cloned().collect()
     }
 
-    fn tracker(&self) -> MutexGuard<'_, PoisonTracker> {
+    pub(super) fn tracker(&self) -> MutexGuard<'_, PoisonTracker> {
         self.tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Logs a content that is not sent any more, at the node that noticed its last end.
     fn log_suspect(&self, content: &ContentDigest, route: &RouteName) {
         let tracker = self.tracker();
-        let suspicion = tracker.table().suspicion(self.clock.now(), content);
+        let suspicion = tracker.guard().table().suspicion(self.clock.now(), content);
         if !suspicion.is_poison() {
             return;
         }
         log::warn!(
             event = "poison_request", content:% = content,
-            ends = tracker.table().ends_counted(content),
+            ends = tracker.guard().table().ends_counted(content),
             route = route.as_str();
             "requests of this content are not sent any more"
         );
--- a/crates/node/src/traffic/suspects/mod.rs
+++ b/crates/node/src/traffic/suspects/mod.rs
@@ -5,9 +5,11 @@
 mod ends_header;
 mod exchange;
 mod known_suspects;
+mod suspect_run;
+mod trial_wait;
 
 pub(super) use ends_header::read_ends;
 pub(super) use ends_header::write_ends;
 pub(super) use exchange::exchange_news;
-pub(super) use known_suspects::SuspectRun;
 pub(super) use known_suspects::Suspects;
+pub(super) use suspect_run::SuspectRun;
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -10,7 +10,6 @@
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::ids::ZoneName;
 use quetzalrack_core::time::Moment;
-use quetzalrack_core::traffic::poison::TrialVerdict;
 use quetzalrack_mesh::model::HostSettings;
 use quetzalrack_mesh::model::KeyRange;
 use quetzalrack_mesh::model::PlatformBounds;
@@ -21,16 +20,12 @@
 use quetzalrack_mesh::traffic::OwnerHint;
 use quetzalrack_mesh::traffic::RefusalReason;
 use quetzalrack_mesh::traffic::admission::Admission;
-use quetzalrack_mesh::traffic::admission::ColdRate;
 use quetzalrack_mesh::traffic::notices::NoticeTracker;
 use quetzalrack_platform::request::InvalidHeader;
 use tokio::sync::Notify;
 
 use super::admission_queue::AdmissionQueue;
-use super::admission_queue::Slot;
-use super::server_client::EndSign;
 use super::server_client::ServerClient;
-use super::trials::poison_refusal;
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::shared::Board;
@@ -46,29 +41,23 @@
 
 /// When a caller may retry if the backend server here is not usable.
 const RETRY_AFTER_UNUSABLE: Duration = Duration::from_millis(300);
-/// The share of the allowed excess over a cold server's rate that is used for starting requests;
-/// the rest covers requests that arrive in bunches.
-const COLD_EXCESS_SHARE: f64 = 0.6;
-/// How long a server is treated as cold after the evacuation of its zone ends, unless its heartbeat
-/// reports a longer time: a little more than one heartbeat interval.
-const COLD_AFTER_EVACUATION: Duration = Duration::from_millis(1_500);
 
 /// Serves jobs at the backend server beside the node.
 pub(in crate::traffic) struct Egress {
     pub(super) board: Arc<Board>,
     pub(super) metrics: Arc<Metrics>,
     pub(super) node_name: NodeName,
-    service: ServiceName,
-    zone: ZoneName,
-    bounds: PlatformBounds,
+    pub(super) service: ServiceName,
+    pub(super) zone: ZoneName,
+    pub(super) bounds: PlatformBounds,
     pub(super) client: ServerClient,
     pub(super) queue: Rc<AdmissionQueue>,
     key_counter: RefCell<KeyCounter>,
     slowdown_percent: Cell<u16>,
     /// When requests to a cold server were last logged.
     pub(super) cold_logged: Cell<Moment>,
-    zone_evacuated: Cell<bool>,
-    incarnation: RefCell<Option<ServerIncarnation>>,
+    pub(super) zone_evacuated: Cell<bool>,
+    pub(super) incarnation: RefCell<Option<ServerIncarnation>>,
     pub(super) notices: RefCell<NoticeTracker>,
     /// The last header of the server that could not be used.
     pub(super) logged_invalid: RefCell<Option<InvalidHeader>>,
@@ -243,20 +232,6 @@
         outcome
     }
 
-    /// Waits for a slot at the server. A request whose content is suspected takes none while it has to wait for
-    /// another suspect.
-    async fn acquire_slot(&self, job: &Job) -> Result<Slot, (RefusalReason, Duration)> {
-        loop {
-            self.wait_for_trial(job).await?;
-            let slot = self.queue.acquire(job).await?;
-            match self.suspects.try_send(&job.content) {
-                TrialVerdict::Send => return Ok(slot),
-                TrialVerdict::Wait => {}
-                TrialVerdict::Refuse { certain } => return Err(poison_refusal(certain)),
-            }
-        }
-    }
-
     /// Returns the server if it may be sent the job now.
     fn usable_server<'a>(
         &self,
@@ -291,58 +266,6 @@
         }
     }
 
-    /// Updates the admission with what is known of the server.
-    fn update_admission(&self, view: &NodeView) {
-        let Some(server) = &view.server else {
-            return;
-        };
-        self.notices
-            .borrow_mut()
-            .set_server(&server.incarnation, server.ran_before);
-        let now = clock::now();
-        let evacuated = view.intent.evacuated.contains(&self.zone);
-        let returned = self.zone_evacuated.replace(evacuated) && !evacuated;
-        let previous = self.incarnation.replace(Some(server.incarnation.clone()));
-        let restarted = previous.as_ref() != Some(&server.incarnation);
-        if let Some(previous) = previous.filter(|_| restarted) {
-            self.record_end(&previous, EndSign::Replaced);
-        }
-        let limit = self.notices.borrow().limit();
-        let rate = self.cold_rate(view);
-        let maybe_restarted = self.client.maybe_restarted(server.heartbeat_at);
-        self.queue.update(|admission| {
-            admission.set_slots(server.slots);
-            admission.set_limit(limit);
-            let cold = admission.cold_limiter();
-            cold.set_rate(rate);
-            cold.set_maybe_restarted(maybe_restarted);
-            if restarted {
-                cold.set_cold_until(server.cold_until);
-            } else if returned {
-                cold.set_cold_until(server.cold_until.max(now + COLD_AFTER_EVACUATION));
-            } else if server.cold_until > now {
-                cold.extend_cold(server.cold_until);
-            }
-        });
-    }
-
-    fn cold_rate(&self, view: &NodeView) -> ColdRate {
-        let config = view.intent.config.as_ref();
-        let Some(service) = config.and_then(|config| config.services.get(&self.service)) else {
-            return ColdRate::Unknown;
-        };
-        let Some(rate) = service.cold_rate else {
-            return ColdRate::Unlimited;
-        };
-        // The limit applies to any period of one second, so the average rate may slightly exceed
-        // the configured rate.
-        let excess = rate * (self.bounds.cold_factor - 1.0) + self.bounds.cold_slack;
-        ColdRate::PerSecond {
-            begun: rate + excess * COLD_EXCESS_SHARE,
-            most: rate + excess,
-        }
-    }
-
     pub(super) fn load(&self) -> NodeLoad {
         let (running, waiting) = self.queue.request_counts();
         let view = self.board.view();
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -22,8 +22,8 @@
 use quetzalrack_platform::request::ResponseHeaders;
 use quetzalrack_platform::request::ServerRequestHeaders;
 use quetzalrack_platform::request::set_server_headers;
-use tokio::sync::Notify;
 
+use super::tracked_limiter::TrackedLimiter;
 use super::trials::poison_refusal;
 use crate::clock;
 use crate::traffic::job::Job;
@@ -34,7 +34,6 @@
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
 use crate::traffic::wire::WriteLimiter;
-use crate::traffic::wire::dial;
 
 /// Limits of the connections to the backend server. A server closes idle connections after about
 /// ten seconds; one that was idle for a third of that is still open. As many are kept as the server
@@ -60,35 +59,12 @@
 /// How many unknown header names are logged, as a server may make them up.
 const MAX_LOGGED_HEADERS: usize = 32;
 
-/// How long a request that must not be written is held until its sending is given up.
-const REFUSED_WAIT: Duration = Duration::from_millis(5);
-/// How long the other connections to the server are given to break as well: those of a server that has ended
-/// break together.
-const BREAK_SPREAD: Duration = Duration::from_millis(1);
-/// How long the server's port may take to accept the connection that shows whether the server has ended.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(50);
-/// How long that connection is watched: a port without a server behind it closes it at once.
-const LOOK_TIME: Duration = Duration::from_millis(4);
-
-/// What shows that the backend server has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum EndSign {
-    /// Its port refuses connections.
-    Refused,
-    /// Its port does not respond.
-    Silent,
-    /// All connections broke, and its port closes new ones.
-    Closed,
-    /// A later incarnation of it runs.
-    Replaced,
-}
-
 /// Sends requests to the backend server and classifies its responses.
 #[derive(Debug)]
 pub(super) struct ServerClient {
-    pool: Rc<Pool>,
+    pub(super) pool: Rc<Pool>,
     distrusted_until: Cell<Moment>,
-    refused_at: Cell<Option<Moment>>,
+    pub(super) refused_at: Cell<Option<Moment>>,
     /// When a connection last broke.
     broken_at: Cell<Option<Moment>>,
     /// When no connection was open any more after one had broken.
@@ -110,44 +86,6 @@
     pub(super) broke: bool,
 }
 
-/// Records whether the limiter has allowed the request to be written; until then nothing of it was
-/// sent.
-struct TrackedLimiter<'a> {
-    limiter: &'a dyn WriteLimiter,
-    may_write: &'a dyn Fn() -> bool,
-    write_allowed: Cell<bool>,
-    /// Notified when the request must not be written any more.
-    refused: Notify,
-}
-
-impl<'a> TrackedLimiter<'a> {
-    fn new(limiter: &'a dyn WriteLimiter, may_write: &'a dyn Fn() -> bool) -> Self {
-        Self {
-            limiter,
-            may_write,
-            write_allowed: Cell::default(),
-            refused: Notify::new(),
-        }
-    }
-
-    fn is_write_allowed(&self) -> bool {
-        self.write_allowed.get()
-    }
-}
-
-impl WriteLimiter for TrackedLimiter<'_> {
-    fn try_write(&self) -> Option<Duration> {
-        if !(self.may_write)() {
-            self.refused.notify_one();
-            return Some(REFUSED_WAIT);
-        }
-        let wait = self.limiter.try_write();
-        self.write_allowed
-            .set(self.write_allowed.get() || wait.is_none());
-        wait
-    }
-}
-
 impl ServerClient {
     pub(super) fn new() -> Self {
         Self {
@@ -186,38 +124,6 @@
             .is_some_and(|at| at >= heartbeat_at)
     }
 
-    /// Looks whether the server has ended, after a connection to it broke or a response did not come in time
-    /// at `noticed`. A single broken connection shows nothing: servers and links lose responses.
-    pub(super) async fn look_for_end(
-        &self,
-        address: SocketAddr,
-        noticed: Moment,
-    ) -> Option<EndSign> {
-        tokio::time::sleep(BREAK_SPREAD).await;
-        let stream = match dial(address, LOOK_TIMEOUT).await {
-            Ok(stream) => stream,
-            Err(DialError::Refused) => {
-                self.refused_at.set(Some(clock::now()));
-                return Some(EndSign::Refused);
-            }
-            Err(DialError::TimedOut | DialError::Io(_)) => {
-                self.refused_at.set(Some(clock::now()));
-                return Some(EndSign::Silent);
-            }
-        };
-        if self.pool.is_connected_since(noticed) {
-            return None;
-        }
-        // The server has nothing to say on this connection, so that it becomes readable by its end alone.
-        let closed = tokio::time::timeout(LOOK_TIME, stream.readable()).await;
-        if closed.is_err() || self.pool.is_connected_since(noticed) {
-            return None;
-        }
-        // Requests sent there meanwhile would be lost, and suspected of an end that they have no part in.
-        self.refused_at.set(Some(clock::now()));
-        Some(EndSign::Closed)
-    }
-
     /// Returns how many connections were opened so far.
     pub(super) fn opened_count(&self) -> u64 {
         self.pool.opened_count()
@@ -372,15 +278,3 @@
     );
     request
 }
-
-impl EndSign {
-    /// Returns the sign's name in logs.
-    pub(super) fn name(self) -> &'static str {
-        match self {
-            Self::Refused => "its port refuses connections",
-            Self::Silent => "its port does not respond",
-            Self::Closed => "its connections broke together",
-            Self::Replaced => "its successor runs",
-        }
-    }
-}
--- a/crates/rack/src/traffic/egress/server_end.rs
+++ b/crates/rack/src/traffic/egress/server_end.rs
@@ -8,7 +8,7 @@
 use quetzalrack_mesh::model::ServerIncarnation;
 
 use super::Egress;
-use super::server_client::EndSign;
+use super::end_sign::EndSign;
 use crate::clock;
 use crate::shared::ServerView;
 use crate::traffic::job::Job;
--- a/crates/rack/src/traffic/egress/trials.rs
+++ b/crates/rack/src/traffic/egress/trials.rs
@@ -10,6 +10,7 @@
 use quetzalrack_mesh::traffic::suspects::trial_nodes;
 
 use super::Egress;
+use super::admission_queue::Slot;
 use crate::clock;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::AttemptReport;
@@ -58,8 +59,22 @@
         self.serve(job, told).await
     }
 
+    /// Waits for a slot at the server. A request whose content is suspected takes none while it has to wait for
+    /// another suspect.
+    pub(super) async fn acquire_slot(&self, job: &Job) -> Result<Slot, (RefusalReason, Duration)> {
+        loop {
+            self.wait_for_trial(job).await?;
+            let slot = self.queue.acquire(job).await?;
+            match self.suspects.try_send(&job.content) {
+                TrialVerdict::Send => return Ok(slot),
+                TrialVerdict::Wait => {}
+                TrialVerdict::Refuse { certain } => return Err(poison_refusal(certain)),
+            }
+        }
+    }
+
     /// Waits until the job may be sent as far as its content is concerned.
-    pub(super) async fn wait_for_trial(&self, job: &Job) -> Result<(), (RefusalReason, Duration)> {
+    async fn wait_for_trial(&self, job: &Job) -> Result<(), (RefusalReason, Duration)> {
         let start = clock::now();
         let left = job.deadline.since(start) / TRIAL_WAIT_SHARE;
         let end = start + MAX_TRIAL_WAIT.min(left);
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -33,7 +33,6 @@
 use super::client_response::strip_connection_headers;
 use super::incoming_request;
 use super::incoming_request::IncomingRequest;
-use super::placement;
 use super::placement::Placement;
 use crate::clock;
 use crate::metrics::Metrics;
@@ -42,9 +41,6 @@
 use crate::traffic::egress::poison_refusal;
 use crate::traffic::hop::HopClient;
 use crate::traffic::job::Job;
-use crate::traffic::outcome::AttemptReport;
-use crate::traffic::outcome::LostReason;
-use crate::traffic::outcome::Outcome;
 use crate::traffic::suspects::Suspects;
 use crate::traffic::wire::ActiveCounter;
 
@@ -61,7 +57,7 @@
     pub(super) metrics: Arc<Metrics>,
     pub(super) egress: Rc<Egress>,
     pub(super) suspects: Rc<Suspects>,
-    hops: Rc<HopClient>,
+    pub(super) hops: Rc<HopClient>,
     pub(super) balancer: RefCell<LoadBalancer>,
     pub(super) notices: RefCell<PeerNotices>,
     round_robins: RefCell<HashMap<RouteName, WeightedRoundRobin>>,
@@ -269,57 +265,4 @@
         });
         leaving.map(|(node, _)| node.clone()).collect()
     }
-
-    async fn attempt(&self, job: &Job, node: &NodeName) -> AttemptReport {
-        if *node == self.node_name {
-            self.suspects.wait_informed(job.deadline).await;
-            return self.egress.serve(job, None).await;
-        }
-        let view = self.board.view();
-        let Some(entry) = view.directory.members.get(node) else {
-            return AttemptReport::new(Outcome::NotRun(
-                RefusalReason::NodeAway,
-                RETRY_AFTER_NO_SERVER,
-            ));
-        };
-        self.balancer.borrow_mut().record_sent(node);
-        let told = self.notices.borrow().get(node).cloned();
-        let ends = self.suspects.ends(&job.content);
-        let sent_as = self.suspects.suspicion(&job.content);
-        let sending = self
-            .hops
-            .send(entry.member.traffic, job, told.as_ref(), &ends);
-        let report = tokio::select! {
-            report = sending => report,
-            () = placement::wait_unreachable(&self.board, &self.hops, node) => {
-                AttemptReport::new(Outcome::Lost(LostReason::Broken))
-            }
-        };
-        if let Outcome::NotRun(RefusalReason::NoDocument, _) = report.outcome
-            && let Some(own) = view.directory.members.get(&self.node_name)
-        {
-            let (to, own) = (entry.member.traffic, own.member.traffic);
-            let hops = Rc::clone(&self.hops);
-            tokio::task::spawn_local(async move { hops.announce_intent_source(to, own).await });
-        }
-        self.record_suspects(job, entry, &report, sent_as).await;
-        if let Some(notice) = report.notice.clone() {
-            self.notices.borrow_mut().record(node, notice);
-        }
-        let now = clock::now();
-        let mut balancer = self.balancer.borrow_mut();
-        let failed = match &report.outcome {
-            Outcome::Answered(response) => response.status().is_server_error(),
-            Outcome::NotRun(reason, _) => *reason == RefusalReason::ServerRefused,
-            Outcome::Lost(lost) => !lost.is_timeout(),
-        };
-        balancer.record_ended(now, node, report.load, failed);
-        if let Outcome::Answered(response) = &report.outcome {
-            balancer.record_response_size(&job.route, response.body().len());
-        }
-        if report.load.is_none() {
-            balancer.record_unreachable(now, node);
-        }
-        report
-    }
 }
--- a/crates/rack/src/traffic/ingress/mod.rs
+++ b/crates/rack/src/traffic/ingress/mod.rs
@@ -1,6 +1,7 @@
 //! Routes the requests of clients on the host, and the calls of its backend server, to the node
 //! that serves them.
 
+mod attempt;
 mod attempts;
 mod client_port;
 mod client_response;
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -64,17 +64,17 @@
     /// Returns how strongly a content is suspected.
     pub(in crate::traffic) fn suspicion(&self, content: &ContentDigest) -> Suspicion {
         let tracker = self.tracker.borrow();
-        tracker.table().suspicion(clock::now(), content)
+        tracker.guard().table().suspicion(clock::now(), content)
     }
 
     /// Returns the ends of servers under a content.
     pub(in crate::traffic) fn ends(&self, content: &ContentDigest) -> Vec<ServerEnd> {
-        self.tracker.borrow().table().ends(content).to_vec()
+        self.tracker.borrow().guard().table().ends(content).to_vec()
     }
 
     /// Returns how many servers ended under a content.
     pub(in crate::traffic) fn ends_counted(&self, content: &ContentDigest) -> usize {
-        self.tracker.borrow().table().ends_counted(content)
+        self.tracker.borrow().guard().table().ends_counted(content)
     }
 
     /// Returns whether a node that knows these ends knows all that count here.
@@ -83,12 +83,19 @@
         content: &ContentDigest,
         told: &[ServerEnd],
     ) -> bool {
-        self.tracker.borrow().table().is_covered(content, told)
+        self.tracker
+            .borrow()
+            .guard()
+            .table()
+            .is_covered(content, told)
     }
 
     /// Decides whether a request may be sent to the server beside this node.
     pub(in crate::traffic) fn try_send(&self, content: &ContentDigest) -> TrialVerdict {
-        self.tracker.borrow().try_send(clock::now(), content)
+        self.tracker
+            .borrow()
+            .guard()
+            .try_send(clock::now(), content)
     }
 
     /// Waits until a verdict may have changed.
@@ -104,7 +111,9 @@
         route: RouteName,
     ) -> RunId {
         let mut tracker = self.tracker.borrow_mut();
-        tracker.begin(clock::now(), server.life(), content, route)
+        tracker
+            .guard_mut()
+            .begin(clock::now(), server.life(), content, route)
     }
 
     /// Records that the server answered a request.
@@ -115,12 +124,12 @@
 
     /// Records that the server certainly did not run a request.
     pub(in crate::traffic) fn record_not_run(&self, run: RunId) {
-        self.update(|tracker| tracker.record_not_run(run));
+        self.update(|tracker| tracker.guard_mut().record_not_run(run));
     }
 
     /// Records that nobody waits for the answer to a request any more.
     pub(in crate::traffic) fn record_cancelled(&self, run: RunId) {
-        self.update(|tracker| tracker.record_cancelled(clock::now(), run));
+        self.update(|tracker| tracker.guard_mut().record_cancelled(clock::now(), run));
     }
 
     /// Records the end of the server beside this node, and returns what was under way there.
@@ -153,7 +162,8 @@
 
     /// Records that a request was answered by way of another node.
     pub(in crate::traffic) fn record_answer_elsewhere(&self, content: ContentDigest) {
-        self.tracker.borrow_mut().record_answer_elsewhere(content);
+        let mut tracker = self.tracker.borrow_mut();
+        tracker.guard_mut().record_answer_elsewhere(content);
     }
 
     /// Records that another node has responded.
@@ -171,13 +181,13 @@
         let members = &view.directory.members;
         let mut tracker = self.tracker.borrow_mut();
         tracker.review(now, |node| members.contains_key(node));
-        self.metrics.set_suspects(tracker.table().len());
+        self.metrics.set_suspects(tracker.guard().table().len());
     }
 
     /// Merges what a node says that sends a request, or that has refused one.
     pub(in crate::traffic) fn merge_ends(&self, content: ContentDigest, ends: &[ServerEnd]) {
         if !ends.is_empty() {
-            self.update(|tracker| tracker.merge(clock::now(), content, ends));
+            self.update(|tracker| tracker.guard_mut().merge(clock::now(), content, ends));
         }
     }
 
@@ -275,7 +285,7 @@
 
     /// Returns the other nodes if there may be anything to tell them.
     fn others_if_suspected(&self) -> Vec<NodeName> {
-        match self.tracker.borrow().table().is_empty() {
+        match self.tracker.borrow().guard().table().is_empty() {
             true => Vec::new(),
             false => self.others(),
         }
@@ -284,7 +294,7 @@
     /// Logs a content that is not sent any more, at the node that noticed its last end.
     fn log_suspect(&self, content: &ContentDigest, route: &RouteName) {
         let tracker = self.tracker.borrow();
-        let table = tracker.table();
+        let table = tracker.guard().table();
         if !table.suspicion(clock::now(), content).is_poison() {
             return;
         }
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to clients, to other nodes and to the backend server.
 
 mod active_counter;
+mod connection;
 mod dial;
 mod link_pacer;
 mod listen;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -9,17 +9,16 @@
 use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use quetzalrack_core::time::Moment;
-use tokio::task::AbortHandle;
 
 use super::LinkPacer;
 use super::PacedStream;
 use super::WriteLimiter;
+use super::connection::Connection;
+use super::connection::SendOutcome;
 use super::dial::DialError;
 use super::dial::dial;
 use super::open_connections::OpenConnections;
@@ -67,42 +66,6 @@
     since: Moment,
 }
 
-/// One connection; dropping it closes it, and cancels its request at the peer.
-#[derive(Debug)]
-struct Connection {
-    opened_at: Moment,
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
-}
-
-/// The result of sending a request on one connection.
-enum SendOutcome {
-    Answered(Response<Bytes>),
-    /// The connection had been closed; nothing was written.
-    Unwritten(Request<Full<Bytes>>),
-}
-
-impl Connection {
-    async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<SendOutcome, ExchangeError> {
-        let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut error) => match error.take_message() {
-                Some(unsent) => return Ok(SendOutcome::Unwritten(unsent)),
-                None => return Err(error.into_error().into()),
-            },
-        };
-        let (head, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
-        Ok(SendOutcome::Answered(Response::from_parts(head, body)))
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 impl Pool {
     /// Makes an empty pool; `pacer` paces the writes of its connections, if given.
     pub(crate) fn new(limits: PoolLimits, pacer: Option<Rc<LinkPacer>>) -> Rc<Self> {
