core, rack, node: a process knows nothing until one that knows has answered

Two holes beside it showed in the new test: a request left for the server at half of its time even if nobody who knew had answered, and a hop from one such process to another was served at once.

Now only an answer of a process that knows counts, or 1.5 s; a hop says with ? among the ends that its sender does not know, and the other node waits as well; after three quarters of its time a request is refused as not run (node_away, not_ready). A node of our own interface without seeds and other nodes has nobody to ask. misrouted_response and small_truncated showed that: 503 instead of 502, a lone node that waited for nobody.

--- a/crates/core/src/traffic/poison/mod.rs
+++ b/crates/core/src/traffic/poison/mod.rs
@@ -4,6 +4,7 @@
 
 mod answered_contents;
 mod content_digest;
+mod known_ends;
 mod news_letter;
 mod news_outbox;
 mod peer_query;
@@ -24,6 +25,7 @@
 
 pub use answered_contents::AnsweredContents;
 pub use content_digest::ContentDigest;
+pub use known_ends::KnownEnds;
 pub use news_letter::NewsLetter;
 pub use news_outbox::NewsOutbox;
 pub use peer_query::PeerQuery;
--- a/crates/core/src/traffic/poison/peer_query.rs
+++ b/crates/core/src/traffic/poison/peer_query.rs
@@ -1,7 +1,6 @@
 //! Which nodes a process asks at its start.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::time::Moment;
@@ -14,8 +13,6 @@
 const MAX_TIMES_ASKED: u32 = 3;
 /// How long after an earlier question such a node is asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
-/// How many others that have just started show that the whole fleet has.
-const MIN_STARTED: usize = 3;
 
 /// Chooses whom a process asks for what the one before it may have known. A node that has just started itself
 /// knows no more, and is asked again. `K` names a node: by its name, or by its address where names are not known
@@ -25,8 +22,6 @@
     end: Moment,
     asked: BTreeMap<K, u32>,
     answers: usize,
-    /// Nodes that have answered, though they had just started themselves.
-    started_too: BTreeSet<K>,
 }
 
 impl<K> PeerQuery<K>
@@ -39,7 +34,6 @@
             end: now + ASKING_TIME,
             asked: BTreeMap::new(),
             answers: 0,
-            started_too: BTreeSet::new(),
         }
     }
 
@@ -71,15 +65,11 @@
         Some((next, wait))
     }
 
-    /// Records that a node has answered, and whether it knew what the others know; returns whether this process now
-    /// knows as much: also if so many have just started that all seem to have.
-    pub fn record_answer(&mut self, node: &K, informed: bool) -> bool {
+    /// Records that a node has answered, and whether it knew what the others know.
+    pub fn record_answer(&mut self, node: &K, informed: bool) {
         if informed {
             self.answers += 1;
             self.asked.insert(node.clone(), MAX_TIMES_ASKED);
-            return true;
         }
-        self.started_too.insert(node.clone());
-        self.started_too.len() >= MIN_STARTED
     }
 }
--- a/crates/core/src/traffic/refusal/refusal_code.rs
+++ b/crates/core/src/traffic/refusal/refusal_code.rs
@@ -34,7 +34,7 @@
     HeadersTooLarge,
     /// A request claims to come from another node and its authenticator is wrong.
     NotAuthentic,
-    /// The node does not know the environment document or its backend server yet.
+    /// The node does not know the environment document, its backend server, or under which requests servers ended yet.
     NotReady,
     /// The key's slice has no owner at the moment.
     NoOwner,
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -8,6 +8,7 @@
 use quetzalrack_core::ids::RouteName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::ContentDigest;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::NewsOutbox;
 use quetzalrack_core::traffic::poison::PeerQuery;
 use quetzalrack_core::traffic::poison::PoisonGuard;
@@ -260,6 +261,26 @@
     assert_eq!(query.time_left(at(1)), Some(Duration::from_millis(9_999)));
 }
 
+/// Guards against a node that takes what an uninformed one tells for all that is known.
+#[test]
+fn ends_as_text() {
+    let mut table = SuspectTable::default();
+    for on in 0..2 {
+        table.record_end(at(0), content("a"), server(on), Witness::Beside, false);
+    }
+    for (list, informed) in [
+        (Vec::new(), true),
+        (Vec::new(), false),
+        (table.ends(&content("a")).to_vec(), true),
+        (table.ends(&content("a")).to_vec(), false),
+    ] {
+        let known = KnownEnds { list, informed };
+        assert_eq!(known.to_string().parse(), Ok(known));
+    }
+    assert!("?,".parse::<KnownEnds>().is_ok_and(|known| !known.informed));
+    assert!("?,x".parse::<KnownEnds>().is_err());
+}
+
 /// Guards against news that grow beyond what a node may spend on control.
 #[test]
 fn message_sizes() {
--- a/crates/mesh/src/traffic/refusal_reason.rs
+++ b/crates/mesh/src/traffic/refusal_reason.rs
@@ -27,7 +27,8 @@
     Suspected,
     /// Three servers have ended under requests of this content.
     Poison,
-    /// The node that the request was sent to is unreachable or shutting down.
+    /// The node that the request was sent to is unreachable, shutting down, or has just started and reached no other
+    /// that knows under which requests servers ended.
     NodeAway,
 }
 
--- a/crates/node/src/traffic/ingress/balanced.rs
+++ b/crates/node/src/traffic/ingress/balanced.rs
@@ -48,7 +48,7 @@
                 self.without_server.extend(self.all.last().cloned());
             }
             // The node knew of more ends than this one, which may now choose it again.
-            RefusalCode::Suspected if !self.chosen_again && !refusal.ends.is_empty() => {
+            RefusalCode::Suspected if !self.chosen_again && !refusal.ends.list.is_empty() => {
                 self.chosen_again = true;
                 self.all.pop();
             }
--- a/crates/node/src/traffic/ingress/remote.rs
+++ b/crates/node/src/traffic/ingress/remote.rs
@@ -43,7 +43,7 @@
     ) -> AttemptResult {
         let _outstanding = self.ingress.outstanding(&member.node);
         if member.node == self.config.node {
-            self.suspects.wait_informed(hop.deadline).await;
+            self.suspects.wait_informed(hop.deadline).await?;
             let result = self.egress.serve(hop).await;
             let load = self.egress.load();
             let now = self.clock.now();
--- a/crates/node/src/traffic/ingress/trials.rs
+++ b/crates/node/src/traffic/ingress/trials.rs
@@ -7,7 +7,7 @@
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::RouteName;
 use quetzalrack_core::traffic::poison::ContentDigest;
-use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_core::traffic::poison::TrialRank;
 use quetzalrack_core::traffic::refusal::RefusalCode;
@@ -53,15 +53,20 @@
     pub(super) async fn serve_peer(
         self: &Arc<Self>,
         hop: HopRequest,
-        ends: &[ServerEnd],
+        ends: &KnownEnds,
     ) -> AttemptResult {
         let content = hop.content;
         if let Some(content) = &content {
-            self.suspects.merge_ends(content, ends);
+            self.suspects.merge_ends(content, &ends.list);
         }
-        let result = match self.is_misplaced_trial(&hop, ends) {
-            true => Err(RefusalCode::Suspected.into()),
-            false => self.egress.serve(hop).await,
+        let informed = match ends.informed {
+            true => Ok(()),
+            false => self.suspects.wait_informed(hop.deadline).await,
+        };
+        let result = match informed {
+            Err(code) => Err(code.into()),
+            Ok(()) if self.is_misplaced_trial(&hop, ends) => Err(RefusalCode::Suspected.into()),
+            Ok(()) => self.egress.serve(hop).await,
         };
         result.map_err(|refusal| Refusal {
             ends: self.suspects.ends(content.as_ref()),
@@ -97,7 +102,7 @@
     ) {
         self.suspects.record_contact(member);
         match (content, refusal) {
-            (Some(content), Some(refusal)) => self.suspects.merge_ends(content, &refusal.ends),
+            (Some(content), Some(refusal)) => self.suspects.merge_ends(content, &refusal.ends.list),
             (Some(content), None) => self.suspects.record_answer_elsewhere(*content),
             (None, _) => {}
         }
@@ -105,13 +110,13 @@
 
     /// Returns whether a node that knows fewer ends than this one chose this server for a content that is to be
     /// tried at others.
-    fn is_misplaced_trial(&self, hop: &HopRequest, ends: &[ServerEnd]) -> bool {
+    fn is_misplaced_trial(&self, hop: &HopRequest, ends: &KnownEnds) -> bool {
         let (Suspicion::Suspected { servers }, Some(content)) =
             (self.suspects.suspicion(hop.content.as_ref()), &hop.content)
         else {
             return false;
         };
-        if hop.matched.needs_owner() || self.suspects.is_covered(content, ends) {
+        if hop.matched.needs_owner() || self.suspects.is_covered(content, &ends.list) {
             return false;
         }
         let routing = self.view.routing.load();
--- a/crates/node/src/traffic/refusal.rs
+++ b/crates/node/src/traffic/refusal.rs
@@ -9,7 +9,7 @@
 use axum::http::StatusCode;
 use axum::http::header;
 use quetzalrack_core::ids::NodeName;
-use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::refusal::RefusalCode;
 use quetzalrack_core::traffic::refusal::WorkOutcome;
 use quetzalrack_wire::headers;
@@ -30,7 +30,7 @@
     pub(super) retry_after: Option<Duration>,
     pub(super) owner: Option<NodeName>,
     /// The ends of backend servers under the request's content that the node knows.
-    pub(super) ends: Vec<ServerEnd>,
+    pub(super) ends: KnownEnds,
 }
 
 #[derive(Serialize)]
@@ -50,7 +50,7 @@
                 code => code.is_transient().then_some(DEFAULT_RETRY_AFTER),
             },
             owner: None,
-            ends: Vec::new(),
+            ends: KnownEnds::default(),
         }
     }
 }
--- a/crates/node/src/traffic/suspects/exchange.rs
+++ b/crates/node/src/traffic/suspects/exchange.rs
@@ -70,6 +70,10 @@
             .find(|member| member.node == *suspects.node());
         let others = members.filter(|member| member.node != *suspects.node());
         let others: Vec<SocketAddr> = others.map(|member| member.control).collect();
+        if own.is_some() && others.is_empty() && seeds.is_empty() {
+            // Nobody else can know anything.
+            suspects.set_informed();
+        }
         let own = own.map_or(FIRST_ADDRESS, |member| member.control);
         let Some((address, wait)) = query.next(&own, seeds.iter().chain(&others)) else {
             tokio::time::sleep(LOOK_INTERVAL).await;
@@ -78,7 +82,8 @@
         tokio::time::sleep(wait).await;
         if let Some(news) = link.ask(address).await {
             suspects.receive(&news);
-            if query.record_answer(&address, news.informed) {
+            query.record_answer(&address, news.informed);
+            if news.informed {
                 suspects.set_informed();
             }
         }
--- a/crates/node/src/traffic/suspects/known_suspects.rs
+++ b/crates/node/src/traffic/suspects/known_suspects.rs
@@ -12,6 +12,7 @@
 use quetzalrack_core::ids::RouteName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::ContentDigest;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::NewsLetter;
 use quetzalrack_core::traffic::poison::PoisonTracker;
 use quetzalrack_core::traffic::poison::RunId;
@@ -71,10 +72,17 @@
         })
     }
 
-    /// Returns the ends of servers under a content.
-    pub(in crate::traffic) fn ends(&self, content: Option<&ContentDigest>) -> Vec<ServerEnd> {
-        let ends = content.map(|content| self.tracker().guard().table().ends(content).to_vec());
-        ends.unwrap_or_default()
+    /// Returns what this node knows of the ends of servers under a content.
+    pub(in crate::traffic) fn ends(&self, content: Option<&ContentDigest>) -> KnownEnds {
+        let now = self.clock.now();
+        let known = content.map(|content| {
+            let tracker = self.tracker();
+            KnownEnds {
+                list: tracker.guard().table().ends(content).to_vec(),
+                informed: tracker.is_informed(now),
+            }
+        });
+        known.unwrap_or_default()
     }
 
     /// Returns how many servers ended under a content.
--- a/crates/node/src/traffic/suspects/trial_wait.rs
+++ b/crates/node/src/traffic/suspects/trial_wait.rs
@@ -17,6 +17,8 @@
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(1);
 /// The share of the time left that a request may wait for another suspect.
 const TRIAL_WAIT_SHARE: u32 = 2;
+/// The share of the time left that a request waits for a process which does not know yet what others know.
+const INFORMED_WAIT_SHARE: f64 = 0.75;
 /// How often the verdict is looked up while nothing seems to change.
 const TRIAL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -48,14 +50,21 @@
         }
     }
 
-    /// Waits until this process knows what the others know, or has started long enough ago; at most for half of the
-    /// time until `deadline`.
-    pub(in crate::traffic) async fn wait_informed(&self, deadline: Moment) {
+    /// Waits until this process knows what the others know, or has started long enough ago; refuses if it does not
+    /// before most of the time until `deadline` is over.
+    pub(in crate::traffic) async fn wait_informed(
+        &self,
+        deadline: Moment,
+    ) -> Result<(), RefusalCode> {
         let start = self.clock.now();
-        let end = start + deadline.since(start) / 2;
-        while !self.tracker().is_informed(self.clock.now()) && self.clock.now() < end {
+        let end = start + deadline.since(start).mul_f64(INFORMED_WAIT_SHARE);
+        while !self.tracker().is_informed(self.clock.now()) {
+            if self.clock.now() >= end {
+                return Err(RefusalCode::NotReady);
+            }
             let _ = tokio::time::timeout(TRIAL_POLL_INTERVAL, self.changed.notified()).await;
         }
+        Ok(())
     }
 
     /// Records that a request is about to be written to the server, unless another suspect has to end first.
--- a/crates/rack/src/traffic/egress/trials.rs
+++ b/crates/rack/src/traffic/egress/trials.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_core::traffic::poison::TrialVerdict;
 use quetzalrack_mesh::model::ServerNotice;
@@ -44,21 +44,36 @@
         &self,
         job: &Job,
         told: Option<&ServerNotice>,
-        ends: &[ServerEnd],
+        ends: &KnownEnds,
     ) -> AttemptReport {
-        self.suspects.merge_ends(job.content, ends);
+        self.suspects.merge_ends(job.content, &ends.list);
+        if !ends.informed && !self.suspects.wait_informed(job.deadline).await {
+            return self.refuse(job, RefusalReason::NodeAway, RETRY_AFTER_UNCERTAIN);
+        }
         if self.is_misplaced_trial(job, ends) {
-            let refusal = Outcome::NotRun(RefusalReason::Suspected, Duration::ZERO);
-            self.record_outcome(job, &refusal);
-            return AttemptReport {
-                load: Some(self.load()),
-                ends: self.suspects.ends(&job.content),
-                ..AttemptReport::new(refusal)
-            };
+            return self.refuse(job, RefusalReason::Suspected, Duration::ZERO);
         }
         self.serve(job, told).await
     }
 
+    /// Serves a job of this process once it knows what the others know.
+    pub(in crate::traffic) async fn serve_informed(&self, job: &Job) -> AttemptReport {
+        match self.suspects.wait_informed(job.deadline).await {
+            true => self.serve(job, None).await,
+            false => self.refuse(job, RefusalReason::NodeAway, RETRY_AFTER_UNCERTAIN),
+        }
+    }
+
+    fn refuse(&self, job: &Job, reason: RefusalReason, retry_after: Duration) -> AttemptReport {
+        let refusal = Outcome::NotRun(reason, retry_after);
+        self.record_outcome(job, &refusal);
+        AttemptReport {
+            load: Some(self.load()),
+            ends: self.suspects.ends(&job.content),
+            ..AttemptReport::new(refusal)
+        }
+    }
+
     /// Waits for a slot at the server. A request whose content is suspected takes none while it has to wait for
     /// another suspect.
     pub(super) async fn acquire_slot(&self, job: &Job) -> Result<Slot, (RefusalReason, Duration)> {
@@ -96,17 +111,17 @@
 
     /// Returns whether a node that knows fewer ends than this one chose this server for a content that is to be
     /// tried at others.
-    fn is_misplaced_trial(&self, job: &Job, ends: &[ServerEnd]) -> bool {
+    fn is_misplaced_trial(&self, job: &Job, ends: &KnownEnds) -> bool {
         let Suspicion::Suspected { servers } = self.suspects.suspicion(&job.content) else {
             return false;
         };
         let view = self.board.view();
         let is_owned = job.key.is_some() && view.is_keyed(&job.service);
-        if is_owned || self.suspects.is_covered(&job.content, ends) {
+        if is_owned || self.suspects.is_covered(&job.content, &ends.list) {
             return false;
         }
         let known = self.suspects.ends(&job.content);
-        let nodes = trial_nodes(&view.directory, &job.service, &job.content, &known);
+        let nodes = trial_nodes(&view.directory, &job.service, &job.content, &known.list);
         let mut first = nodes.into_iter().take(servers);
         !first.any(|node| *node == self.node_name)
     }
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -10,7 +10,7 @@
 use http::Response;
 use http::Uri;
 use http_body_util::Full;
-use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_mesh::traffic::RefusalReason;
@@ -154,7 +154,7 @@
         address: SocketAddr,
         job: &Job,
         told: Option<&ServerNotice>,
-        ends: &[ServerEnd],
+        ends: &KnownEnds,
     ) -> AttemptReport {
         let now = clock::now();
         let Some(request) = hop_request::encode(now, job, told, ends) else {
--- a/crates/rack/src/traffic/hop/hop_request.rs
+++ b/crates/rack/src/traffic/hop/hop_request.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http_body_util::Full;
 use quetzalrack_core::time::Moment;
-use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_mesh::model::RequestKind;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_platform::request::RequestHeaders;
@@ -24,7 +24,7 @@
     now: Moment,
     job: &Job,
     told: Option<&ServerNotice>,
-    ends: &[ServerEnd],
+    ends: &KnownEnds,
 ) -> Option<Request<Full<Bytes>>> {
     let is_once = job.kind == RequestKind::Once;
     let text = format!(
@@ -55,7 +55,7 @@
     /// What it knows of the server here.
     pub(super) told: Option<ServerNotice>,
     /// The ends of servers under the job's content that it knows.
-    pub(super) ends: Vec<ServerEnd>,
+    pub(super) ends: KnownEnds,
 }
 
 /// Decodes a request of another node; returns `None` if it is malformed.
@@ -76,7 +76,7 @@
     let objective = now + time_left()?;
     let deadline = now + time_left()?;
     let mut told = None;
-    let mut ends = Vec::new();
+    let mut ends = KnownEnds::default();
     for field in fields {
         if let Some(notice) = notice_field::decode(field) {
             told = Some(notice);
--- a/crates/rack/src/traffic/ingress/attempt.rs
+++ b/crates/rack/src/traffic/ingress/attempt.rs
@@ -18,8 +18,7 @@
     /// Sends a job to a node and records what its report tells.
     pub(super) async fn attempt(&self, job: &Job, node: &NodeName) -> AttemptReport {
         if *node == self.node_name {
-            self.suspects.wait_informed(job.deadline).await;
-            return self.egress.serve(job, None).await;
+            return self.egress.serve_informed(job).await;
         }
         let view = self.board.view();
         let Some(entry) = view.directory.members.get(node) else {
--- a/crates/rack/src/traffic/ingress/placement.rs
+++ b/crates/rack/src/traffic/ingress/placement.rs
@@ -71,7 +71,7 @@
             return Vec::new();
         };
         let ends = self.suspects.ends(&job.content);
-        let ranked = trial_nodes(&view.directory, &job.service, &job.content, &ends);
+        let ranked = trial_nodes(&view.directory, &job.service, &job.content, &ends.list);
         let usable = ranked.into_iter().filter(|node| !unusable.contains(node));
         usable.skip(servers).cloned().collect()
     }
--- a/crates/rack/src/traffic/ingress/suspect_reports.rs
+++ b/crates/rack/src/traffic/ingress/suspect_reports.rs
@@ -21,7 +21,7 @@
         report: &AttemptReport,
         sent_as: Suspicion,
     ) {
-        self.suspects.merge_ends(job.content, &report.ends);
+        self.suspects.merge_ends(job.content, &report.ends.list);
         let node = &entry.member.incarnation.node;
         if report.load.is_some() {
             let view = self.board.view();
--- a/crates/rack/src/traffic/outcome.rs
+++ b/crates/rack/src/traffic/outcome.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::Response;
-use quetzalrack_core::traffic::poison::ServerEnd;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_mesh::model::ServerNotice;
 use quetzalrack_mesh::ownership::NodeLoad;
 use quetzalrack_mesh::traffic::OwnerHint;
@@ -43,7 +43,7 @@
     /// What the node knows of its server, if that is worth telling.
     pub(super) notice: Option<ServerNotice>,
     /// The ends of servers under the job's content that the node knows.
-    pub(super) ends: Vec<ServerEnd>,
+    pub(super) ends: KnownEnds,
 }
 
 impl AttemptReport {
@@ -54,7 +54,7 @@
             load: None,
             owner: None,
             notice: None,
-            ends: Vec::new(),
+            ends: KnownEnds::default(),
         }
     }
 }
--- a/crates/rack/src/traffic/suspects/exchange.rs
+++ b/crates/rack/src/traffic/suspects/exchange.rs
@@ -58,7 +58,8 @@
             };
             if let Some(news) = self.hops.fetch_suspects(address).await {
                 self.suspects.receive(&news);
-                if query.record_answer(&node, news.informed) {
+                query.record_answer(&node, news.informed);
+                if news.informed {
                     self.suspects.set_informed();
                 }
             }
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -8,6 +8,7 @@
 use quetzalrack_core::ids::RouteName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::ContentDigest;
+use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::NewsLetter;
 use quetzalrack_core::traffic::poison::PoisonTracker;
 use quetzalrack_core::traffic::poison::RunId;
@@ -30,6 +31,8 @@
 const MAX_TELLING_WAIT: Duration = Duration::from_millis(25);
 /// How often a process that has just started looks whether it has waited long enough.
 const INFORMED_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// The share of the time left that a request waits for a process which does not know yet what others know.
+const INFORMED_WAIT_SHARE: f64 = 0.75;
 
 /// Shared by the requests of this node's clients and those for the server beside it.
 pub(in crate::traffic) struct Suspects {
@@ -67,9 +70,13 @@
         tracker.guard().table().suspicion(clock::now(), content)
     }
 
-    /// Returns the ends of servers under a content.
-    pub(in crate::traffic) fn ends(&self, content: &ContentDigest) -> Vec<ServerEnd> {
-        self.tracker.borrow().guard().table().ends(content).to_vec()
+    /// Returns what this node knows of the ends of servers under a content.
+    pub(in crate::traffic) fn ends(&self, content: &ContentDigest) -> KnownEnds {
+        let tracker = self.tracker.borrow();
+        KnownEnds {
+            list: tracker.guard().table().ends(content).to_vec(),
+            informed: tracker.is_informed(clock::now()),
+        }
     }
 
     /// Returns how many servers ended under a content.
@@ -226,16 +233,20 @@
         tokio::time::timeout(MAX_TELLING_WAIT, told).await.ok();
     }
 
-    /// Waits until this process knows what the others know, or has started long enough ago; at most for half of the
-    /// time until `deadline`.
-    pub(in crate::traffic) async fn wait_informed(&self, deadline: Moment) {
+    /// Waits until this process knows what the others know, or has started long enough ago; returns whether it
+    /// does before most of the time until `deadline` is over.
+    pub(in crate::traffic) async fn wait_informed(&self, deadline: Moment) -> bool {
         let start = clock::now();
-        let end = start + deadline.since(start) / 2;
-        while !self.tracker.borrow().is_informed(clock::now()) && clock::now() < end {
+        let end = start + deadline.since(start).mul_f64(INFORMED_WAIT_SHARE);
+        while !self.tracker.borrow().is_informed(clock::now()) {
+            if clock::now() >= end {
+                return false;
+            }
             tokio::time::timeout(INFORMED_POLL_INTERVAL, self.changed())
                 .await
                 .ok();
         }
+        true
     }
 
     /// Records that another node has told this process what it knows.
--- a/crates/rack/tests/system/poison_requests.rs
+++ b/crates/rack/tests/system/poison_requests.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use reqwest::StatusCode;
+use rustix::process::Signal;
 
 use super::support::ClientResponse;
 use super::support::World;
@@ -13,6 +14,12 @@
 const CLIENT_ATTEMPTS: usize = 24;
 /// Pause between two attempts of a client.
 const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between the attempts at processes that start.
+const SHORT_PAUSE: Duration = Duration::from_millis(20);
+/// How long the one process that knows of a content answers nobody.
+const FREEZE_TIME: Duration = Duration::from_millis(900);
+/// By then processes that were started together are ready.
+const RESTART_TIME: Duration = Duration::from_secs(4);
 /// A request that is refused at once has its response by then, on a busy machine too.
 const AT_ONCE: Duration = Duration::from_millis(100);
 const SERVICES: [&str; 8] = [
@@ -156,6 +163,42 @@
     check_ends(&world, 3);
 }
 
+/// Guards against processes that take themselves for informed since others around them have just started too:
+/// all but one are killed together, clients ask as soon as they are back, and the one that knows is frozen.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_together() {
+    let mut world = start().await;
+    for number in 0..CLIENT_ATTEMPTS / 3 {
+        ask_once(&world, number, "/plain/ends-servers", None).await;
+    }
+    check_ends(&world, 3);
+    for host in 1..SERVICES.len() {
+        world.kill_node(host);
+    }
+    for host in 1..SERVICES.len() {
+        world.start_node(host);
+    }
+    let known = world.hosts[0].process();
+    known.signal(Signal::STOP);
+    let thaw = async {
+        tokio::time::sleep(FREEZE_TIME).await;
+        known.signal(Signal::CONT);
+    };
+    let start = Instant::now();
+    let (world, asked) = (&world, 1..SERVICES.len());
+    let asked = asked.map(|host| async move {
+        let mut number = 0;
+        while start.elapsed() < RESTART_TIME {
+            let id = format!("ends-servers-{host}-{number}");
+            world.request(host, &id, "/plain/ends-servers", None).await;
+            number += 1;
+            tokio::time::sleep(SHORT_PAUSE).await;
+        }
+    });
+    tokio::join!(futures::future::join_all(asked), thaw);
+    check_ends(world, 3);
+}
+
 /// Guards against a call under which servers end: its caller is no longer served and is sent to the next server,
 /// beside which another node makes the same call.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/testutils/tests/system_poison.rs
+++ b/crates/testutils/tests/system_poison.rs
@@ -126,3 +126,40 @@
     }
     assert!(ended <= 3, "{ended} servers ended");
 }
+
+/// Guards against the refusal of innocent requests, equal ones among them, whose servers crash one after the other and
+/// all at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn innocent_crashes() {
+    let mut trial = start(&["artwork-store"]).await;
+    let load = trial.load(Duration::from_millis(5), |count| {
+        let mut request = match count % 2 {
+            0 => CallRequest::get("/artwork/popular"),
+            _ => CallRequest::get(&format!("/artwork/print-{count}")),
+        };
+        request.work_ms = Some(60);
+        request
+    });
+    let hosts = trial.environment.hosts.len();
+    for round in 0..5 {
+        let crashed: Vec<usize> = (0..hosts)
+            .filter(|host| round == 4 || *host == round)
+            .collect();
+        for host in &crashed {
+            trial.environment.hosts[*host].kill_backend().await.unwrap();
+        }
+        tokio::time::sleep(PAUSE).await;
+        for host in &crashed {
+            trial.environment.restart_backend(*host).await.unwrap();
+        }
+        tokio::time::sleep(PAUSE * 3).await;
+    }
+    let reports = load.stop().await;
+    let codes = reports
+        .iter()
+        .filter_map(|timed| timed.report.code.as_deref());
+    let refused = codes.filter(|code| matches!(*code, "poison_request" | "suspected"));
+    let (refused, all) = (refused.count(), reports.len());
+    println!("{refused} of {all} innocent requests refused");
+    assert_eq!(refused, 0);
+}
