--- a/review/stand_ins/case_refused.rs
+++ b/review/stand_ins/case_refused.rs
@@ -32,9 +32,9 @@
 const SECOND_PER_CENT: usize = 3;
 const SECOND_TIME: Duration = Duration::from_millis(5_000);
 /// The time from one disruption to the next.
-const PAUSE: Duration = Duration::from_millis(8_500);
+const PAUSE: Duration = Duration::from_millis(7_500);
 /// How often the disruption comes.
-const ROUNDS: usize = 6;
+const ROUNDS: usize = 7;
 /// The host with the faulty server.
 const FAULTY: usize = 0;
 /// The host at which the clients are; its own server has no part.
