--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -6,6 +6,7 @@
 
 mod case_drain;
 mod case_holders;
+mod case_reborn;
 mod case_refused;
 mod case_release;
 mod client;
@@ -50,6 +51,7 @@
     record.line(format!("case {case}, trouble {trouble}"));
     let verdict = match case.as_str() {
         "holders" => case_holders::run(&record, trouble),
+        "reborn" => case_reborn::run(&record, trouble),
         "refused" => case_refused::run(&record, trouble),
         "release" => case_release::run(&record, trouble),
         "drain" => case_drain::run(&record, trouble),
--- a/review/stand_ins/server.rs
+++ b/review/stand_ins/server.rs
@@ -516,6 +516,7 @@
             state.holds[keys].fill(Some(hold));
             is_new
         };
+        self.check_fence(first, last, fence);
         if is_new {
             self.record.line(format!(
                 "{} is granted {first}-{last}#{fence} for {} ms",
@@ -570,6 +571,28 @@
         Answer::plain("200 OK", &[("X-Handover", token.as_str())])
     }
 
+    /// Records whether another server, or another life of this one, had one of these keys with a fence that
+    /// is not lower.
+    fn check_fence(&self, first: u16, last: u16, fence: u64) {
+        let life = format!("{}, born {}", self.plan.id, self.born);
+        let mut fences = FENCES.lock().unwrap();
+        fences.resize(KEYS, (0, String::new()));
+        let mut stale = None;
+        for (known, holder) in &mut fences[usize::from(first)..=usize::from(last)] {
+            if *known >= fence && *holder != life {
+                stale.get_or_insert_with(|| (*known, holder.clone()));
+            }
+            if *known <= fence {
+                (*known, *holder) = (fence, life.clone());
+            }
+        }
+        if let Some((known, holder)) = stale {
+            STALE.lock().unwrap().push(format!(
+                "{life}, takes {first}-{last} with the fence {fence}; {holder}, had keys of these with {known}"
+            ));
+        }
+    }
+
     /// Records whether another server is still at work on keys that this one is granted, before that one's
     /// hold would have run out.
     fn check_others(&self, first: u16, last: u16) {
@@ -638,6 +661,10 @@
 
 /// All servers of this run.
 static SERVERS: Mutex<Vec<Server>> = Mutex::new(Vec::new());
+/// The highest fence of each key, and the life of a server that had it.
+static FENCES: Mutex<Vec<(u64, String)>> = Mutex::new(Vec::new());
+/// What [`Server::check_fence`] has found.
+pub static STALE: Mutex<Vec<String>> = Mutex::new(Vec::new());
 /// What [`Server::check_others`] has found.
 pub static AT_WORK: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
