mesh, platform, rack: the departure of a server outlives the process that acknowledged it

Cause: what the call announced was kept by the answering process alone.

Nodes now keep departures for each other: reported to the leader, passed on with its replies, told to a new leader by all. The call names the incarnation: the next one gets work at once, and a late call of the one before doesn't end it.

A check of the delays found a leader that took its own heartbeat for a witness.

Open: all processes that know lost at the same moment.

--- a/crates/mesh/src/ownership/action.rs
+++ b/crates/mesh/src/ownership/action.rs
@@ -8,6 +8,7 @@
 use super::LeaderRecord;
 use super::LogEntry;
 use super::PeerMessage;
+use crate::model::ServerId;
 
 /// One output of [`super::NodeMachine`].
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +26,8 @@
     },
     /// Answer the backend server's heartbeat.
     AnswerHeartbeat(HeartbeatAnswer),
+    /// Acknowledge that the backend server leaves: another process knows of it too.
+    AcknowledgeLeaving(ServerId),
     /// Call the backend server; the outcome is reported as an event.
     CallServer(KeyCall),
     /// Publish the directory and the lease, since one of them may have changed.
--- a/crates/mesh/src/ownership/event.rs
+++ b/crates/mesh/src/ownership/event.rs
@@ -29,8 +29,14 @@
 pub enum ServerEvent {
     /// It sent a heartbeat.
     Heartbeat(ServerHeartbeat),
-    /// It announced that it leaves.
-    Leaving(ServerId),
+    /// It announced that it leaves, and accepts no more requests.
+    Leaving {
+        /// Its id.
+        id: ServerId,
+        /// When its process started, by which an announcement that is late is told from one of the next
+        /// incarnation; none if it did not say so.
+        started_ms: Option<u64>,
+    },
     /// This incarnation said in a response that it is leaving.
     Draining(ServerIncarnation),
     /// A call to it ended.
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -27,6 +27,7 @@
 use crate::ownership::NodeHeartbeat;
 use crate::ownership::NodeIncarnation;
 use crate::ownership::PeerMessage;
+use crate::ownership::departure_log::DepartureLog;
 
 /// How long a leader that took over by handoff may take to be confirmed: three heartbeats of its
 /// nodes.
@@ -157,6 +158,7 @@
         now: Moment,
         from: SocketAddr,
         heartbeat: &NodeHeartbeat,
+        departures: &DepartureLog,
         actions: &mut Vec<Action>,
     ) {
         let node = heartbeat.member.incarnation.node.clone();
@@ -183,6 +185,7 @@
         if assignment.is_some() {
             self.extend_leases(now, &node);
         }
+        let (lacking, departures_index) = departures.since(heartbeat.departures_index);
         let reply = LeaderReply {
             epoch: self.record.epoch,
             leader: self.own_incarnation.clone(),
@@ -190,12 +193,14 @@
             sequence: heartbeat.sequence,
             sent_at: now.0,
             lease: milliseconds(lease),
-            grants_pending: !current || self.expects_keys(&node),
+            early_heartbeat: !current || self.expects_keys(&node) || departures.has_unwitnessed(),
             assignment,
             update: self.update_for(heartbeat),
             intent_offset: self.intent.offset,
             // Rounded up, so that no node takes the intent for more recent than it is.
             intent_age: milliseconds(now.since(self.intent_confirmed)).saturating_add(1),
+            departures: lacking,
+            departures_index,
         };
         if heartbeat.intent_offset > self.intent.offset {
             actions.push(Action::FetchIntent(heartbeat.member.traffic));
--- a/crates/mesh/src/ownership/leader/unsolicited.rs
+++ b/crates/mesh/src/ownership/leader/unsolicited.rs
@@ -8,7 +8,32 @@
 use crate::ownership::Action;
 use crate::ownership::PeerMessage;
 
+/// How many nodes are asked at once to confirm a departure; one suffices.
+const MAX_WITNESSES: usize = 3;
+
 impl Leader {
+    /// Tells whether the leader knows no other node.
+    pub(in crate::ownership) fn is_alone(&self) -> bool {
+        let mut nodes = self.peers.keys();
+        nodes.all(|node| *node == self.own_incarnation.node)
+    }
+
+    /// Asks a few nodes for a heartbeat at once, since the replies tell them of a departure that this
+    /// process alone knows.
+    pub(in crate::ownership) fn request_witnesses(
+        &mut self,
+        now: Moment,
+        actions: &mut Vec<Action>,
+    ) {
+        let others = self
+            .responsive_members(now)
+            .filter(|member| member.incarnation != self.own_incarnation);
+        let witnesses = others.map(|member| member.incarnation.node.clone());
+        let witnesses: Vec<_> = witnesses.take(MAX_WITNESSES).collect();
+        self.heartbeat_requests.extend(witnesses);
+        self.request_heartbeats(actions);
+    }
+
     /// Asks the nodes whose servers were granted keys for a heartbeat at once.
     pub(super) fn request_heartbeats(&mut self, actions: &mut Vec<Action>) {
         let epoch = self.record.epoch;
--- a/crates/mesh/src/ownership/message/leader_reply.rs
+++ b/crates/mesh/src/ownership/message/leader_reply.rs
@@ -5,6 +5,7 @@
 
 use super::Epoch;
 use super::NodeIncarnation;
+use super::ServerDeparture;
 use super::TableUpdate;
 use crate::model::GrantedRange;
 use crate::model::ServerIncarnation;
@@ -35,9 +36,10 @@
     pub sent_at: u64,
     /// How long, in milliseconds, the node's lease lasts, counted from when the node sent the heartbeat.
     pub lease: u32,
-    /// Whether keys are about to be granted to the node's backend server. The node then sends its next
-    /// heartbeat early, since the keys have no owner until it learns of the grant.
-    pub grants_pending: bool,
+    /// Whether the node is to send its next heartbeat early: keys are about to be granted to its backend
+    /// server, and have no owner until it learns of the grant, or the leader waits for a node that confirms
+    /// the departure of the leader's own server.
+    pub early_heartbeat: bool,
     /// What the node's backend server is to hold; none until the leader knows what it holds now.
     pub assignment: Option<Assignment>,
     /// Changes to the node's copy of the tables.
@@ -46,4 +48,8 @@
     pub intent_offset: u64,
     /// How many milliseconds ago the leader last knew every acknowledged change of the intent.
     pub intent_age: u32,
+    /// Departures of servers that the node lacks.
+    pub departures: Vec<ServerDeparture>,
+    /// The leader's index up to which these reach.
+    pub departures_index: u64,
 }
--- a/crates/mesh/src/ownership/message/mod.rs
+++ b/crates/mesh/src/ownership/message/mod.rs
@@ -1,5 +1,6 @@
 //! The messages between nodes, and the leader's record in the store.
 
+mod departure_state;
 mod epoch;
 mod handoff;
 mod leader_record;
@@ -12,9 +13,11 @@
 mod node_load;
 mod owners_update;
 mod peer_message;
+mod server_departure;
 mod server_info;
 mod table_update;
 
+pub use departure_state::DepartureState;
 pub use epoch::Epoch;
 pub use handoff::Handoff;
 pub use handoff::HandoffHolder;
@@ -33,5 +36,6 @@
 pub use owners_update::OwnedRange;
 pub use owners_update::OwnersUpdate;
 pub use peer_message::PeerMessage;
+pub use server_departure::ServerDeparture;
 pub use server_info::ServerInfo;
 pub use table_update::TableUpdate;
--- a/crates/mesh/src/ownership/message/node_heartbeat.rs
+++ b/crates/mesh/src/ownership/message/node_heartbeat.rs
@@ -7,6 +7,7 @@
 use super::Member;
 use super::MemberDigest;
 use super::NodeLoad;
+use super::ServerDeparture;
 use crate::model::Granting;
 use crate::model::HeldRange;
 use crate::model::KeyRange;
@@ -85,4 +86,8 @@
     pub owners_version: u64,
     /// The offset up to which the node has read the operators' intent.
     pub intent_offset: u64,
+    /// Departures of servers that the leader may lack.
+    pub departures: Vec<ServerDeparture>,
+    /// The leader's index up to which the node has the leader's departures.
+    pub departures_index: u64,
 }
--- a/crates/mesh/src/ownership/mod.rs
+++ b/crates/mesh/src/ownership/mod.rs
@@ -5,6 +5,7 @@
 //! names the checks that enforce each rule.
 
 mod action;
+mod departure_log;
 mod directory;
 mod election;
 mod event;
@@ -24,6 +25,7 @@
 pub use intent_read::IntentRead;
 pub use lease_times::LeaseTimes;
 pub use message::Assignment;
+pub use message::DepartureState;
 pub use message::Epoch;
 pub use message::Handoff;
 pub use message::HandoffHolder;
@@ -40,6 +42,7 @@
 pub use message::OwnedRange;
 pub use message::OwnersUpdate;
 pub use message::PeerMessage;
+pub use message::ServerDeparture;
 pub use message::ServerInfo;
 pub use message::TableUpdate;
 pub use message::Voter;
--- a/crates/mesh/src/ownership/node_machine/leader_change.rs
+++ b/crates/mesh/src/ownership/node_machine/leader_change.rs
@@ -245,6 +245,7 @@
         // Later replies of the earlier leader are ignored; otherwise this node could confirm both leaders.
         self.outstanding.clear();
         self.directory.start_epoch(epoch);
+        self.departures.start_epoch();
         self.keep_held_ranges(now);
         // An earlier process of this node has ended.
         let leader = &record.leader;
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -1,5 +1,6 @@
 //! The state machine of one node.
 
+mod departures;
 mod followed_leader;
 mod intent_poller;
 mod leader_change;
@@ -24,6 +25,7 @@
 use crate::model::HeldRange;
 use crate::model::OperatorsIntent;
 use crate::model::ServerHeartbeat;
+use crate::model::ServerIncarnation;
 use crate::ownership::Action;
 use crate::ownership::Directory;
 use crate::ownership::Epoch;
@@ -33,6 +35,7 @@
 use crate::ownership::LeaseTimes;
 use crate::ownership::NodeLoad;
 use crate::ownership::ServerInfo;
+use crate::ownership::departure_log::DepartureLog;
 use crate::ownership::election::LeaderSearch;
 use crate::ownership::leader::Leader;
 use crate::ownership::leader::LeaderClaim;
@@ -52,6 +55,9 @@
     started: Moment,
     server: ServerTracker,
     server_lost: bool,
+    departures: DepartureLog,
+    /// Departures of the own server that wait for their acknowledgement.
+    unacknowledged: Vec<ServerIncarnation>,
     lease: Option<Lease>,
     followed: Option<FollowedLeader>,
     /// The newest epoch that this process has read in the store.
@@ -92,11 +98,13 @@
     pub fn new(now: Moment, profile: NodeProfile, times: LeaseTimes) -> Self {
         Self {
             random: ChaCha8Rng::seed_from_u64(profile.seed),
+            departures: DepartureLog::new(profile.incarnation.node.clone()),
             profile,
             times,
             started: now,
             server: ServerTracker::default(),
             server_lost: false,
+            unacknowledged: Vec::new(),
             lease: None,
             followed: None,
             read_epoch: None,
@@ -160,7 +168,9 @@
         if now >= self.heartbeat_due {
             self.send_heartbeat(now, &mut actions);
         }
-        self.deliver_to_self(now, actions)
+        let mut actions = self.deliver_to_self(now, actions);
+        self.acknowledge_departures(&mut actions);
+        actions
     }
 
     /// Returns the tables of members and owners.
@@ -180,7 +190,7 @@
 
     /// Returns the newest heartbeat of the backend server, unless the server is lost or has left.
     pub fn server(&self) -> Option<&ServerHeartbeat> {
-        let usable = !self.server_lost && !self.server.has_departed();
+        let usable = !self.server_lost && !self.has_server_left();
         let newest = self.server.newest();
         newest.filter(|newest| usable && newest.service == self.profile.service)
     }
--- a/crates/mesh/src/ownership/node_machine/peer_messages.rs
+++ b/crates/mesh/src/ownership/node_machine/peer_messages.rs
@@ -20,8 +20,8 @@
 
 /// The time until the next heartbeat if the leader does not know yet what the node's server holds.
 const UNASSIGNED_PAUSE: Duration = Duration::from_millis(60);
-/// The time until the next heartbeat while keys are about to be granted to the node's server.
-const GRANT_PENDING_PAUSE: Duration = Duration::from_millis(100);
+/// The time until the next heartbeat if the leader asks for an early one.
+const EARLY_PAUSE: Duration = Duration::from_millis(100);
 
 /// The shortest time before a heartbeat that the leader requests. Grants come in bursts, and one heartbeat
 /// serves a whole burst.
@@ -46,9 +46,13 @@
     ) {
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
+                let led_epoch = self.leader.as_ref().map(|leader| leader.record().epoch);
+                if led_epoch == Some(heartbeat.epoch) {
+                    self.record_reported_departures(now, &heartbeat);
+                }
                 if let Some(leader) = &mut self.leader {
                     leader.set_intent_confirmed(self.intent_poller.confirmed());
-                    leader.handle_heartbeat(now, from, &heartbeat, actions);
+                    leader.handle_heartbeat(now, from, &heartbeat, &self.departures, actions);
                 }
             }
             PeerMessage::Reply(reply) => self.apply_reply(now, &reply, actions),
@@ -143,10 +147,11 @@
             }
             None => {}
         }
-        if reply.grants_pending {
-            self.heartbeat_due = self.heartbeat_due.min(now + GRANT_PENDING_PAUSE);
+        if reply.early_heartbeat {
+            self.heartbeat_due = self.heartbeat_due.min(now + EARLY_PAUSE);
         }
         self.directory.apply(&reply.update);
+        self.record_departures_told(now, reply);
         if reply.intent_offset <= self.intent.offset {
             let age = Duration::from_millis(u64::from(reply.intent_age));
             self.intent_poller.confirm(sent.before(age));
@@ -234,6 +239,8 @@
             members_version: self.directory.members_version,
             owners_version: self.directory.owners_version,
             intent_offset: self.intent.offset,
+            departures: self.departures.report(self.sequence),
+            departures_index: self.departures.leader_index(),
         };
         self.reported = Some((server, holding));
         for kept in [&mut self.outstanding, &mut self.sent] {
--- a/crates/mesh/src/ownership/node_machine/server_events.rs
+++ b/crates/mesh/src/ownership/node_machine/server_events.rs
@@ -34,6 +34,11 @@
                     );
                     log_event(actions, "server_life", epoch, detail);
                 }
+                if self.is_before_departure(&heartbeat) {
+                    actions.push(Action::AnswerHeartbeat(HeartbeatAnswer::Acknowledged));
+                    return;
+                }
+                self.record_draining_heartbeat(now, &heartbeat);
                 let granting = self.granting();
                 let lease = usable_lease(now, &self.lease, &self.intent);
                 let answer =
@@ -44,10 +49,8 @@
                 }
                 actions.push(Action::AnswerHeartbeat(answer));
             }
-            ServerEvent::Leaving(id) => {
-                self.server.record_departure(now, &id);
-                self.drop_unused_lease();
-                actions.push(Action::AnswerHeartbeat(HeartbeatAnswer::Acknowledged));
+            ServerEvent::Leaving { id, started_ms } => {
+                self.record_leaving(now, id, started_ms, actions);
             }
             ServerEvent::Draining(incarnation) => self.server.record_draining(incarnation),
             ServerEvent::CallEnded(id, outcome) => {
@@ -68,7 +71,8 @@
 
     /// Tells whether the backend server is leaving, by its heartbeats or its responses.
     pub fn is_server_draining(&self) -> bool {
-        self.server.is_draining()
+        let newest = self.server.newest();
+        self.server.is_draining() || newest.is_some_and(|newest| self.is_before_departure(newest))
     }
 
     /// Tells whether the backend server had been running for a while when this process first heard it.
--- a/crates/mesh/src/ownership/server_grants/server_tracker.rs
+++ b/crates/mesh/src/ownership/server_grants/server_tracker.rs
@@ -28,7 +28,7 @@
 /// How long a release is reported to the leader, and recognised when the server repeats it. A server
 /// repeats a release in a few heartbeats at most, and node heartbeats to the leader can be lost.
 const RELEASE_RETENTION: Duration = Duration::from_secs(10);
-/// How many incarnations that left are remembered, to ignore their late heartbeats.
+/// How many incarnations that leave are remembered, to ignore their late heartbeats.
 const MAX_DEPARTED: usize = 8;
 /// How long heartbeats are ignored from a server that left before any of its heartbeats arrived. One sent
 /// before it left may arrive seconds late, and looks like one of a next incarnation with the same id.
@@ -41,8 +41,7 @@
 #[derive(Clone, Debug, Default)]
 pub(in crate::ownership) struct ServerTracker {
     pub(super) current: Option<CurrentServer>,
-    departed: Vec<ServerIncarnation>,
-    /// Servers that left before this process received any of their heartbeats, and when.
+    /// Servers that left without saying which incarnation, and of which this process had received no heartbeat.
     departed_unseen: Vec<(ServerId, Moment)>,
     /// Incarnations that said in a response that they are leaving. Their heartbeats may not say so, or may
     /// be late.
@@ -85,8 +84,7 @@
         lease: Option<&Lease>,
         times: &LeaseTimes,
     ) -> HeartbeatAnswer {
-        let departed = self.departed.contains(&heartbeat.incarnation)
-            || self.has_departed_unseen(now, &heartbeat.incarnation.id);
+        let departed = self.has_departed_unseen(now, &heartbeat.incarnation.id);
         if departed || self.is_stale(now, &heartbeat) {
             return HeartbeatAnswer::Acknowledged;
         }
@@ -108,12 +106,9 @@
         }
     }
 
-    /// Records that the server leaves. Later heartbeats of this incarnation have no effect.
-    pub(in crate::ownership) fn record_departure(&mut self, now: Moment, id: &ServerId) {
-        match self.incarnation().filter(|own| own.id == *id).cloned() {
-            Some(incarnation) => push_bounded(&mut self.departed, incarnation),
-            None => push_bounded(&mut self.departed_unseen, (id.clone(), now)),
-        }
+    /// Records that a server leaves of which only the id is known.
+    pub(in crate::ownership) fn record_unseen_departure(&mut self, now: Moment, id: ServerId) {
+        push_bounded(&mut self.departed_unseen, (id, now));
     }
 
     /// Records that an incarnation of the server said in a response that it is leaving.
@@ -141,12 +136,6 @@
             .map(|current| &current.newest.incarnation)
     }
 
-    /// Tells whether that incarnation has left.
-    pub(in crate::ownership) fn has_departed(&self) -> bool {
-        self.incarnation()
-            .is_some_and(|incarnation| self.departed.contains(incarnation))
-    }
-
     /// Returns the newest heartbeat.
     pub(in crate::ownership) fn newest(&self) -> Option<&ServerHeartbeat> {
         self.current.as_ref().map(|current| &current.newest)
--- /dev/null
+++ b/crates/mesh/tests/ownership_support/fleet/departures.rs
@@ -0,0 +1,124 @@
+//! Servers that leave beside processes that end.
+
+use std::time::Duration;
+
+use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::ownership::Event;
+use quetzalrack_mesh::ownership::NodeMachine;
+use quetzalrack_mesh::ownership::ServerEvent;
+
+use super::Fleet;
+use super::SimEvent;
+
+/// The time from the heartbeat that is held up to the call with which the server leaves.
+const LEAVE_AFTER: Duration = Duration::from_millis(400);
+/// How long after the acknowledgement the server may still get work.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// A server that leaves while a heartbeat of it is on its way, and a node process that ends afterwards.
+#[derive(Clone, Copy, Debug)]
+pub struct DeparturePlan {
+    /// Whether it is the server beside the leader.
+    pub beside_leader: bool,
+    /// Whether the leader's process ends too, and not only the one beside the server.
+    pub kill_leader: bool,
+    /// The time from the sending of the last heartbeat to its arrival.
+    pub late: Duration,
+    /// The time from the acknowledgement to the end of the process.
+    pub kill_after: Duration,
+    /// How long a process may run before its node counts as in touch.
+    pub settle: Duration,
+}
+
+/// A departure in progress.
+#[derive(Clone, Debug)]
+pub struct Departure {
+    index: usize,
+    plan: DeparturePlan,
+    /// When the server announced that it leaves.
+    pub announced: Option<Moment>,
+    pub acknowledged: Option<Moment>,
+    /// Samples in which the server was in use later than allowed.
+    pub late_uses: u32,
+}
+
+impl Fleet {
+    /// Lets a server leave some time after the start.
+    pub fn leave(&mut self, at: Duration, plan: DeparturePlan) {
+        self.schedule(at, SimEvent::ServerLeaves(plan));
+    }
+
+    pub(super) fn start_departure(&mut self, plan: DeparturePlan) {
+        let leader = self.leader().unwrap();
+        let index = match plan.beside_leader {
+            true => leader,
+            false => (leader + 1) % self.nodes.len(),
+        };
+        let mut server = self.nodes[index].server.take().unwrap();
+        let heartbeat = server.heartbeat(self.now);
+        self.schedule(plan.late, SimEvent::HeartbeatReceived(index, heartbeat));
+        self.departure = Some(Departure {
+            index,
+            plan,
+            announced: None,
+            acknowledged: None,
+            late_uses: 0,
+        });
+        let leaving = SimEvent::LeavingReceived(index, server.incarnation);
+        self.schedule(LEAVE_AFTER, leaving);
+    }
+
+    pub(super) fn announce_leaving(&mut self, event: SimEvent) {
+        let SimEvent::LeavingReceived(index, server) = event.clone() else {
+            return;
+        };
+        let leaving = ServerEvent::Leaving {
+            id: server.id,
+            started_ms: Some(server.started_ms),
+        };
+        if let Some(departure) = &mut self.departure {
+            departure.announced = Some(self.now);
+        }
+        let incarnation = self.nodes[index].incarnation;
+        self.step(index, incarnation, Event::Server(leaving), event);
+    }
+
+    pub(super) fn acknowledge_leaving(&mut self) {
+        let now = self.now;
+        let Some(departure) = &mut self.departure else {
+            return;
+        };
+        if departure.acknowledged.is_some() {
+            return;
+        }
+        departure.acknowledged = Some(now);
+        let (index, plan) = (departure.index, departure.plan);
+        let leader = self.leader().filter(|_| plan.kill_leader);
+        let killed = [Some(index), leader.filter(|leader| *leader != index)];
+        for index in killed.into_iter().flatten() {
+            let incarnation = self.nodes[index].incarnation;
+            let ended = SimEvent::ProcessEnded(index, incarnation);
+            self.schedule(plan.kill_after, ended);
+        }
+    }
+
+    pub(super) fn sample_departure(&mut self) {
+        let now = self.now;
+        let Some(departure) = &mut self.departure else {
+            return;
+        };
+        let host = &self.nodes[departure.index];
+        let is_settled = now.since(host.started) >= departure.plan.settle;
+        let machine = host.machine.as_ref().filter(|_| is_settled);
+        let is_used = machine.is_some_and(|machine| {
+            machine.server().is_some()
+                && !NodeMachine::is_server_draining(machine)
+                // Without a table its node gets no requests yet.
+                && !machine.directory().members.is_empty()
+        });
+        let is_late = departure
+            .acknowledged
+            .is_some_and(|at| now.since(at) > DRAIN);
+        departure.late_uses += u32::from(is_used && is_late);
+    }
+}
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod checks;
+mod departures;
 mod faults;
 
 use std::cmp::Reverse;
@@ -19,6 +20,7 @@
 use quetzalrack_mesh::model::OperatorsIntent;
 use quetzalrack_mesh::model::RoutingConfig;
 use quetzalrack_mesh::model::ServerHeartbeat;
+use quetzalrack_mesh::model::ServerIncarnation;
 use quetzalrack_mesh::model::ServiceSettings;
 use quetzalrack_mesh::ownership::Action;
 use quetzalrack_mesh::ownership::Directory;
@@ -41,6 +43,8 @@
 use super::fake_store::FakeStore;
 use super::tracing;
 use calls::CallStage;
+pub use departures::Departure;
+pub use departures::DeparturePlan;
 
 /// The service whose keys have owners.
 const KEYED: &str = "keyed";
@@ -87,6 +91,8 @@
     pub unowned: u64,
     pub grants: u64,
     pub violation: Option<String>,
+    /// The departure of a server, if the test plans one.
+    pub departure: Option<Departure>,
     /// Whether each step is printed, to find the cause of a failure.
     trace: bool,
 }
@@ -94,6 +100,7 @@
 struct Host {
     name: NodeName,
     machine: Option<NodeMachine>,
+    started: Moment,
     incarnation: u64,
     frozen: bool,
     deferred: Vec<SimEvent>,
@@ -118,6 +125,8 @@
     LoseStore,
     ShutDownLeader,
     LoseLeader,
+    ServerLeaves(DeparturePlan),
+    LeavingReceived(usize, ServerIncarnation),
     ShutDown(usize, u64),
     ProcessEnded(usize, u64),
     StartNode(usize),
@@ -140,6 +149,7 @@
         let nodes = (0..plan.nodes).map(|index| Host {
             name: format!("node-{index}").parse().unwrap(),
             machine: None,
+            started: Moment::default(),
             incarnation: 0,
             frozen: false,
             deferred: Vec::new(),
@@ -162,6 +172,7 @@
             unowned: 0,
             grants: 0,
             violation: None,
+            departure: None,
             trace: std::env::var_os("QUETZALRACK_TRACE").is_some(),
             plan,
         };
@@ -208,6 +219,7 @@
             }
             if self.now.since(sampled_at) >= Duration::from_millis(100) {
                 sampled_at = self.now;
+                self.sample_departure();
                 let owned = self.owned();
                 self.unowned += u64::from(65_536_u32.saturating_sub(owned)) * 1_000 / 65_536;
                 if end.since(self.now) < FINAL_PERIOD {
@@ -302,6 +314,8 @@
                     host.gone = true;
                 }
             }
+            SimEvent::ServerLeaves(plan) => self.start_departure(plan),
+            event @ SimEvent::LeavingReceived(..) => self.announce_leaving(event),
             SimEvent::ShutDown(index, incarnation) => {
                 self.step(
                     index,
@@ -424,6 +438,7 @@
             return;
         }
         host.incarnation += 1;
+        host.started = self.now;
         let incarnation = host.incarnation;
         let profile = NodeProfile {
             incarnation: NodeIncarnation {
@@ -596,6 +611,7 @@
                     SimEvent::Call(index, incarnation, CallStage::Started(call)),
                 );
             }
+            Action::AcknowledgeLeaving(_) => self.acknowledge_leaving(),
             Action::Publish
             | Action::FetchIntent(_)
             | Action::ReadIntent { .. }
--- a/crates/mesh/tests/ownership_support/mod.rs
+++ b/crates/mesh/tests/ownership_support/mod.rs
@@ -11,6 +11,7 @@
 mod tracing;
 
 pub use fault_kind::FaultKind;
+pub use fleet::DeparturePlan;
 pub use fleet::Fleet;
 pub use fleet::FleetPlan;
 pub use schedule::check;
--- a/crates/mesh/tests/server_leaves.rs
+++ b/crates/mesh/tests/server_leaves.rs
@@ -1,4 +1,4 @@
-//! A backend server that leaves before its node has received a heartbeat of it.
+//! A backend server that leaves, and the incarnations under its id.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
 mod lone_node;
@@ -12,7 +12,14 @@
 use lone_node::node;
 
 fn leaving() -> Event {
-    Event::Server(ServerEvent::Leaving("server-1".parse().unwrap()))
+    leaving_of(None)
+}
+
+fn leaving_of(started_ms: Option<u64>) -> Event {
+    Event::Server(ServerEvent::Leaving {
+        id: "server-1".parse().unwrap(),
+        started_ms,
+    })
 }
 
 /// Guards against requests to a server that has left, if its last heartbeat arrives seconds late at a process
@@ -35,3 +42,24 @@
     node.step(at(10_200), heartbeat(3));
     assert!(node.server().is_some());
 }
+
+/// Guards against a server that gets no work for seconds because the incarnation before it has left.
+#[test]
+fn next_at_once() {
+    let mut node = node(Granting::ByHeartbeat);
+    node.step(at(100), leaving_of(Some(0)));
+    node.step(at(200), heartbeat(1));
+    assert!(node.server().is_some());
+}
+
+/// Guards against a running server that gets no more work because the call with which the incarnation before
+/// it left arrives late.
+#[test]
+fn late_call() {
+    let mut node = node(Granting::ByHeartbeat);
+    node.step(at(100), heartbeat(1));
+    node.step(at(200), leaving_of(Some(0)));
+    assert!(node.server().is_some());
+    node.step(at(300), leaving_of(Some(1)));
+    assert!(node.server().is_none());
+}
--- a/crates/rack/src/control/control_runner.rs
+++ b/crates/rack/src/control/control_runner.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::model::ServerId;
 use quetzalrack_mesh::model::ServerIncarnation;
 use quetzalrack_mesh::ownership::Action;
 use quetzalrack_mesh::ownership::Event;
@@ -56,6 +57,8 @@
     /// The incarnation of the server that was last reported as leaving.
     pub(super) leaving_reported: Option<ServerIncarnation>,
     pub(super) heartbeat: Duration,
+    /// Calls of servers that leave, which are not answered yet.
+    pub(super) leaving_answers: Vec<(ServerId, oneshot::Sender<HeartbeatAnswer>)>,
 }
 
 impl ControlRunner {
@@ -101,16 +104,40 @@
     }
 
     fn handle_call(&mut self, event: ServerEvent, answer: oneshot::Sender<HeartbeatAnswer>) {
-        if let ServerEvent::Leaving(id) = &event {
-            log::info!(event = "server_leaves", server:% = id; "");
-        }
         self.unreachable_reported = false;
-        self.step(Event::Server(event), Some(answer));
+        let answer = match &event {
+            ServerEvent::Leaving { id, started_ms } => {
+                let started_ms = started_ms.unwrap_or_default();
+                log::info!(event = "server_leaves", server:% = id, started_ms = started_ms; "");
+                self.keep_leaving_answer(id.clone(), answer);
+                None
+            }
+            _ => Some(answer),
+        };
+        self.step(Event::Server(event), answer);
         if let Some(server) = self.machine.server() {
             self.open_connections(server.address);
         }
     }
 
+    /// Keeps the answer to a server that leaves until another process knows of it.
+    fn keep_leaving_answer(&mut self, id: ServerId, answer: oneshot::Sender<HeartbeatAnswer>) {
+        self.leaving_answers
+            .retain(|(_, earlier)| !earlier.is_closed());
+        self.leaving_answers.push((id, answer));
+    }
+
+    fn acknowledge_leaving(&mut self, id: &ServerId) {
+        log::info!(event = "leaving_acknowledged", server:% = id; "");
+        let acknowledged = self
+            .leaving_answers
+            .extract_if(.., |(leaving, _)| leaving == id);
+        for (_, answer) in acknowledged {
+            // A server that closed the connection repeats the call.
+            answer.send(HeartbeatAnswer::Acknowledged).ok();
+        }
+    }
+
     /// Opens connections for calls about keys, if keys are granted by calls.
     pub(super) fn open_connections(&self, server: SocketAddr) {
         if self.machine.grants_by_call() {
@@ -167,6 +194,10 @@
                         answer.send(heartbeat_answer).ok();
                     }
                 }
+                Action::AcknowledgeLeaving(id) => {
+                    self.publish(now);
+                    self.acknowledge_leaving(&id);
+                }
                 // The spawned call starts only after the view that results from this step is published.
                 Action::CallServer(call) => {
                     tokio::task::spawn_local(self.calls.clone().run(call));
--- a/crates/rack/src/control/server_port.rs
+++ b/crates/rack/src/control/server_port.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -15,12 +16,16 @@
 use quetzalrack_mesh::ownership::ServerEvent;
 use quetzalrack_platform::server::ServerCall;
 use quetzalrack_platform::server::parse_heartbeat;
+use quetzalrack_platform::server::parse_leave;
 use quetzalrack_platform::server::write_answer;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
 
+/// How long a call may wait for its answer; the server repeats one that takes a second.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// A call of the backend server with the sender of its answer.
 pub(super) type PendingServerCall = (ServerEvent, oneshot::Sender<HeartbeatAnswer>);
 
@@ -39,7 +44,13 @@
             return status(StatusCode::NOT_FOUND);
         };
         let event = match call {
-            ServerCall::Leave(id) => ServerEvent::Leaving(id),
+            ServerCall::Leave(id) => {
+                let Ok(body) = request.into_body().collect().await else {
+                    return status(StatusCode::BAD_REQUEST);
+                };
+                let started_ms = parse_leave(&body.to_bytes());
+                ServerEvent::Leaving { id, started_ms }
+            }
             ServerCall::Heartbeat(id) => {
                 let Ok(body) = request.into_body().collect().await else {
                     return status(StatusCode::BAD_REQUEST);
@@ -59,7 +70,10 @@
         if self.server_calls.send((event, sender)).is_err() {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let body = match answer.await {
+        let Ok(answer) = tokio::time::timeout(ANSWER_TIMEOUT, answer).await else {
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let body = match answer {
             Ok(HeartbeatAnswer::Renewed(renewal)) => {
                 self.metrics.heartbeat("renewed");
                 write_answer(Some(&renewal))
--- a/crates/rack/tests/system/leaving_servers.rs
+++ b/crates/rack/tests/system/leaving_servers.rs
@@ -1,4 +1,4 @@
-//! Servers that say in their responses that they are leaving.
+//! Servers that say that they are leaving, in their responses or in a call of their own.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -107,3 +107,27 @@
     assert_eq!(unserved, 0, "the next incarnation is not used");
     check(&world);
 }
+
+/// Guards against requests to a server whose leaving was acknowledged, by a process that was killed right
+/// after it: the next one hears a heartbeat that was sent before.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_after_leaving() {
+    let mut world = World::start(&["plain", "keyed", "plain", "plain"]).await;
+    world.wait_until_served(START).await;
+    let server = world.hosts[0].server.clone();
+    let late = server.hold_heartbeat();
+    assert!(server.deregister().await, "not acknowledged");
+    world.kill_node(0);
+    world.start_node(0);
+    send(&world, "restarting", &[1, 2, 3], Duration::from_secs(1)).await;
+    assert!(server.deliver(late).await);
+    send(&world, "late", &[0, 1, 2, 3], Duration::from_secs(1)).await;
+    let before = server.arrived();
+    let unserved = send(&world, "after", &[0, 1, 2, 3], Duration::from_secs(2)).await;
+    assert_eq!(
+        server.arrived(),
+        before,
+        "a server that has left gets requests"
+    );
+    assert_eq!(unserved, 0, "the other servers did not take over");
+}
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -96,6 +96,8 @@
     /// When this incarnation ceases to be cold.
     cold_until: Option<Instant>,
     draining: bool,
+    /// Whether it sends no heartbeats any more.
+    silent: bool,
     /// Value of the header with its rate limit, if it names one.
     limit: Option<String>,
     /// Whether its responses say that it is leaving.
@@ -117,7 +119,7 @@
 }
 
 /// A heartbeat ready to be sent.
-struct PendingHeartbeat {
+pub struct PendingHeartbeat {
     incarnation: String,
     url: String,
     body: Value,
@@ -436,7 +438,7 @@
     fn next_heartbeat(&self) -> Option<PendingHeartbeat> {
         let incarnation = self.incarnation();
         let mut state = self.lock();
-        if state.dead {
+        if state.dead || state.silent {
             return None;
         }
         if state
@@ -508,16 +510,38 @@
         self.truth.hold(incarnation, &all);
     }
 
-    /// Sends the final call of a server that shuts down.
-    pub async fn deregister(&self) {
-        let url = format!("http://{}/instances/{}", self.plan.control, self.lock().id);
+    /// Sends the final call of a server that shuts down; returns whether it is acknowledged.
+    pub async fn deregister(&self) -> bool {
+        let (id, started_ms) = {
+            let state = self.lock();
+            (state.id.clone(), state.started_ms)
+        };
+        let url = format!("http://{}/instances/{id}", self.plan.control);
         let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        let call = http.delete(url).json(&json!({ "born": started_ms }));
         // The node may not be running.
-        http.delete(url)
-            .timeout(HEARTBEAT_TIMEOUT)
-            .send()
-            .await
-            .ok();
+        let answer = call.timeout(HEARTBEAT_TIMEOUT).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Writes a last heartbeat, which is held up on its way.
+    pub fn hold_heartbeat(&self) -> PendingHeartbeat {
+        let heartbeat = self.next_heartbeat().unwrap();
+        self.lock().silent = true;
+        heartbeat
+    }
+
+    /// Delivers a heartbeat that was held up.
+    pub async fn deliver(&self, heartbeat: PendingHeartbeat) -> bool {
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        let call = http.put(heartbeat.url).json(&heartbeat.body);
+        let answer = call.timeout(HEARTBEAT_TIMEOUT).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Returns how many requests have arrived that it did not refuse as misdirected.
+    pub fn arrived(&self) -> usize {
+        self.lock().arrivals.len()
     }
 }
 
