rack: a repeat of a request goes out on another connection than the request

Cause: the id ties a response to the request, not to the sending. A connection now keeps a mark of each id that it carried until the deadline after which no repeat is sent, and carries no second request under it. No message and no wait; one more connection when no other is idle.

--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -29,10 +29,12 @@
 use crate::traffic::job::Job;
 use crate::traffic::outcome::LostReason;
 use crate::traffic::outcome::Outcome;
+use crate::traffic::wire::CallTag;
 use crate::traffic::wire::DialError;
 use crate::traffic::wire::ExchangeError;
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
+use crate::traffic::wire::Reuse;
 use crate::traffic::wire::WriteLimiter;
 
 /// Limits of the connections to the backend server. A server closes idle connections after about
@@ -56,6 +58,9 @@
 /// theirs.
 const DISTRUST_PERIOD: Duration = Duration::from_secs(8);
 
+/// How much later than the deadline known here a repeat may arrive: its time left was measured when it was sent.
+const REPEAT_TRANSIT: Duration = Duration::from_secs(1);
+
 /// How many unknown header names are logged, as a server may make them up.
 const MAX_LOGGED_HEADERS: usize = 32;
 
@@ -153,7 +158,14 @@
             headers.id == job.id && !headers.closes
         };
         let limiter = TrackedLimiter::new(limiter, may_write);
-        let exchange = self.pool.exchange(address, request, idle, &limiter, keep);
+        let reuse = Reuse {
+            idle_limit: idle,
+            tag: job
+                .id
+                .as_ref()
+                .map(|id| CallTag::new(id, job.deadline + REPEAT_TRANSIT)),
+        };
+        let exchange = self.pool.exchange(address, request, reuse, &limiter, keep);
         let exchanged = tokio::select! {
             biased;
             () = limiter.refused.notified() => {
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -28,6 +28,7 @@
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
+use crate::traffic::wire::Reuse;
 use crate::traffic::wire::Unlimited;
 use crate::traffic::wire::dial;
 
@@ -39,6 +40,11 @@
     idle_timeout: Duration::from_secs(20),
     max_idle: 16,
 };
+/// Nodes send each response once, so any open connection serves.
+const ANY_CONNECTION: Reuse = Reuse {
+    idle_limit: POOL_LIMITS.idle_timeout,
+    tag: None,
+};
 /// How long the exchange of news about suspected requests may take.
 const NEWS_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a reachability probe waits for its connection. A busy node may be slow to accept it,
@@ -82,13 +88,9 @@
         let mut request = Request::new(Full::new(body.into()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(INTENT_PATH);
-        let exchange = self.pool.exchange(
-            address,
-            request,
-            POOL_LIMITS.idle_timeout,
-            &Unlimited,
-            |_| true,
-        );
+        let exchange = self
+            .pool
+            .exchange(address, request, ANY_CONNECTION, &Unlimited, |_| true);
         // If the message is lost, the next request that the node refuses sends it again.
         tokio::time::timeout(PROBE_TIMEOUT, exchange).await.ok();
     }
@@ -136,10 +138,9 @@
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = Uri::from_static(SUSPECTS_PATH);
-        let idle = POOL_LIMITS.idle_timeout;
         let exchange = self
             .pool
-            .exchange(address, request, idle, &Unlimited, |_| true);
+            .exchange(address, request, ANY_CONNECTION, &Unlimited, |_| true);
         let response = tokio::time::timeout(NEWS_TIMEOUT, exchange)
             .await
             .ok()?
@@ -164,7 +165,7 @@
         let exchange = self.pool.exchange(
             address,
             request,
-            POOL_LIMITS.idle_timeout,
+            ANY_CONNECTION,
             &Unlimited,
             |response: &Response<_>| !response.headers().contains_key(http::header::CONNECTION),
         );
--- a/crates/rack/src/traffic/wire/connection.rs
+++ b/crates/rack/src/traffic/wire/connection.rs
@@ -9,6 +9,7 @@
 use quetzalrack_core::time::Moment;
 use tokio::task::AbortHandle;
 
+use super::CallTag;
 use super::ExchangeError;
 
 /// One connection; dropping it closes it, and cancels its request at the peer.
@@ -17,6 +18,8 @@
     pub(super) opened_at: Moment,
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) task: AbortHandle,
+    /// The calls that it has carried and that may still be repeated.
+    pub(super) carried: Vec<CallTag>,
 }
 
 /// The result of sending a request on one connection.
@@ -27,6 +30,17 @@
 }
 
 impl Connection {
+    /// Records a call that is about to be sent.
+    pub(super) fn record(&mut self, now: Moment, tag: CallTag) {
+        self.carried.retain(|carried| !carried.has_ended(now));
+        self.carried.push(tag);
+    }
+
+    /// Returns whether a call may be sent: no response to an earlier one can be taken for its response.
+    pub(super) fn fits(&self, tag: Option<&CallTag>) -> bool {
+        !tag.is_some_and(|tag| self.carried.iter().any(|carried| carried.is_same_id(tag)))
+    }
+
     pub(super) async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to clients, to other nodes and to the backend server.
 
 mod active_counter;
+mod call_tag;
 mod connection;
 mod dial;
 mod link_pacer;
@@ -13,6 +14,7 @@
 mod write_limiter;
 
 pub(super) use active_counter::ActiveCounter;
+pub(crate) use call_tag::CallTag;
 pub(crate) use dial::DialError;
 pub(super) use dial::dial;
 pub(crate) use link_pacer::LinkPacer;
@@ -21,6 +23,7 @@
 pub(crate) use pool::ExchangeError;
 pub(crate) use pool::Pool;
 pub(crate) use pool::PoolLimits;
+pub(crate) use pool::Reuse;
 pub(super) use request_scanner::RequestScanner;
 pub(super) use request_scanner::ScannedHead;
 pub(super) use watched_stream::WatchedStream;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use quetzalrack_core::time::Moment;
 
+use super::CallTag;
 use super::LinkPacer;
 use super::PacedStream;
 use super::WriteLimiter;
@@ -38,6 +39,16 @@
     pub(crate) max_idle: usize,
 }
 
+/// Which open connections may carry a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reuse {
+    /// How long a connection may have been idle; a peer that closes idle connections resets what is sent on
+    /// them next.
+    pub(crate) idle_limit: Duration,
+    /// The call, if its response is told by an id: a connection that has carried it is not used again.
+    pub(crate) tag: Option<CallTag>,
+}
+
 /// Why an exchange brought no complete response.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -78,14 +89,12 @@
         })
     }
 
-    /// Sends a request and reads the whole response. `idle_limit` is the longest time that a reused
-    /// connection may have been idle; a peer that closes idle connections resets what is sent on
-    /// them next.
+    /// Sends a request and reads the whole response.
     pub(crate) async fn exchange<K>(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
-        idle_limit: Duration,
+        reuse: Reuse,
         limiter: &dyn WriteLimiter,
         is_reusable: K,
     ) -> Result<Response<Bytes>, ExchangeError>
@@ -94,10 +103,13 @@
     {
         let mut request = request;
         loop {
-            let mut connection = self.take_or_open(address, idle_limit).await?;
+            let mut connection = self.take_or_open(address, &reuse).await?;
             while let Some(wait) = limiter.try_write() {
                 tokio::time::sleep(wait).await;
             }
+            if let Some(tag) = reuse.tag {
+                connection.record(clock::now(), tag);
+            }
             match connection.send(request).await? {
                 SendOutcome::Answered(response) => {
                     if is_reusable(&response) {
@@ -123,9 +135,13 @@
     where
         M: Fn() -> Option<Request<Full<Bytes>>>,
     {
+        let any = Reuse {
+            idle_limit: self.limits.idle_timeout,
+            tag: None,
+        };
         loop {
             let mut connection = match before {
-                None => self.take_or_open(address, self.limits.idle_timeout).await?,
+                None => self.take_or_open(address, &any).await?,
                 Some(before) => match self.wait_opened_before(address, before).await {
                     Some(connection) => connection,
                     None => return Ok(None),
@@ -213,27 +229,29 @@
     async fn take_or_open(
         &self,
         address: SocketAddr,
-        idle_limit: Duration,
+        reuse: &Reuse,
     ) -> Result<Connection, ExchangeError> {
-        match self.take(address, idle_limit) {
+        match self.take(address, reuse) {
             Some(connection) => Ok(connection),
             None => self.open(address).await,
         }
     }
 
-    fn take(&self, address: SocketAddr, idle_limit: Duration) -> Option<Connection> {
+    /// Takes the connection that was used last among those that may carry the request.
+    fn take(&self, address: SocketAddr, reuse: &Reuse) -> Option<Connection> {
         let now = clock::now();
-        let idle_limit = idle_limit.min(self.limits.idle_timeout);
+        let idle_limit = reuse.idle_limit.min(self.limits.idle_timeout);
         self.drop_expired(address);
         let mut by_address = self.idle.borrow_mut();
         let entries = by_address.get_mut(&address)?;
-        let newest = entries
-            .last()
-            .filter(|newest| now.since(newest.since) < idle_limit)?;
-        if !newest.connection.sender.is_ready() {
+        let index = entries
+            .iter()
+            .rposition(|idle| idle.connection.fits(reuse.tag.as_ref()))?;
+        let newest = entries.get(index)?;
+        if now.since(newest.since) >= idle_limit || !newest.connection.sender.is_ready() {
             return None;
         }
-        entries.pop().map(|idle| idle.connection)
+        Some(entries.remove(index).connection)
     }
 
     fn put_back(&self, address: SocketAddr, connection: Connection) {
@@ -264,6 +282,7 @@
             opened_at,
             sender,
             task: task.abort_handle(),
+            carried: Vec::new(),
         })
     }
 }
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -15,6 +15,7 @@
 mod pipelines;
 mod poison_requests;
 mod reload;
+mod second_answers;
 mod shutdown;
 mod store_faults;
 mod support;
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -4,6 +4,7 @@
 
 mod call_grants;
 mod content_checker;
+mod copying_stream;
 mod node_process;
 mod notice_checker;
 mod raw_connection;
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -1,9 +1,12 @@
 //! A stand-in for a backend server that is granted keys and checks each request against them.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -33,6 +36,7 @@
 use super::call_grants::CallFault;
 use super::call_grants::CallGrants;
 use super::content_checker::Content;
+use super::copying_stream::CopyingStream;
 use super::truth::HeldRange;
 use super::truth::Truth;
 
@@ -98,6 +102,10 @@
     draining: bool,
     /// Whether it sends no heartbeats any more.
     silent: bool,
+    /// Ids of requests that it refuses when they first arrive.
+    refused_once: HashSet<String>,
+    /// Whether it sends its refusals twice.
+    copies_refusals: Arc<AtomicBool>,
     /// Value of the header with its rate limit, if it names one.
     limit: Option<String>,
     /// Whether its responses say that it is leaving.
@@ -180,6 +188,8 @@
         let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
             counting.lock().connections += 1;
+            let copies = Arc::clone(&counting.lock().copies_refusals);
+            let stream = CopyingStream::new(stream, copies);
             let service = TowerToHyperService::new(router.clone());
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             connections.spawn(connection);
@@ -510,6 +520,16 @@
         self.truth.hold(incarnation, &all);
     }
 
+    /// Refuses the request with this id when it first arrives.
+    pub fn refuse_once(&self, id: &str) {
+        self.lock().refused_once.insert(id.to_owned());
+    }
+
+    /// Sends its refusals a second time from now on.
+    pub fn copy_refusals(&self) {
+        self.lock().copies_refusals.store(true, Ordering::Relaxed);
+    }
+
     /// Sends the final call of a server that shuts down; returns whether it is acknowledged.
     pub async fn deregister(&self) -> bool {
         let (id, started_ms) = {
@@ -644,6 +664,9 @@
         if text("x-expected-instance") != state.id || !held {
             return (StatusCode::MISDIRECTED_REQUEST, refused, "").into_response();
         }
+        if state.refused_once.remove(&id) {
+            return (StatusCode::SERVICE_UNAVAILABLE, refused, "").into_response();
+        }
         state.callers.push(text("x-caller-service"));
         let now = Instant::now();
         state.last_run = Some(now);
--- a/crates/rack/tests/system/support/texts.rs
+++ b/crates/rack/tests/system/support/texts.rs
@@ -8,7 +8,7 @@
         serde_json::json!({"resource_type": "routes", "metadata": {"name": format!("route-{name}")}, "spec": {
             "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
             "timeout": format!("{timeout_ms}ms"), "target_latency": "400ms", "priority": 1,
-            "service": if name == "once" { "plain" } else { name }, "max_attempts": 2}})
+            "service": match name { "once" => "plain", "order" => "keyed", name => name }, "max_attempts": 2}})
     };
     let service = |name: &str, keyed: bool| {
         serde_json::json!({"resource_type": "services", "metadata": {"name": name}, "spec": {
@@ -19,6 +19,7 @@
         route("keyed", "idempotent"),
         route("plain", "idempotent"),
         route("once", "non_idempotent"),
+        route("order", "non_idempotent"),
         service("keyed", true),
         service("plain", false),
         serde_json::json!({"resource_type": "limits", "metadata": {}, "spec": {
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -335,6 +335,18 @@
         self.send(index, id, request).await
     }
 
+    /// Sends a request with a key that may run once only.
+    pub async fn post_keyed(&self, index: usize, id: &str, path: &str, key: u16) -> ClientResponse {
+        let request = self
+            .http
+            .post(format!("http://{}{path}", self.hosts[index].clients))
+            .header("host", "shop.example")
+            .header("x-request-id", id)
+            .header("x-deadline-ms", "1500")
+            .header("x-shard-key", key.to_string());
+        self.send(index, id, request).await
+    }
+
     async fn send(&self, index: usize, id: &str, request: RequestBuilder) -> ClientResponse {
         self.truth.notices.sent(id, index);
         let Ok(response) = request.send().await else {
