rack: the answer to a call about keys can't be one to another call

Cause: answers to these calls bear no id, so only the connection ties them to the call. A release now goes out on a connection of its own; a refused grant counts only on a connection that has carried nothing else and otherwise leaves open whether the server holds the keys; no connection is kept after a refusal. A copy of an accepted grant remains possible: the node then believes that more is held than is.

Cost: a connection for each release; one more call for each refused grant.

--- a/crates/rack/src/control/key_calls.rs
+++ b/crates/rack/src/control/key_calls.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
-use http::Response;
 use http::StatusCode;
 use http::header::HOST;
 use http_body_util::Full;
@@ -30,11 +29,11 @@
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::traffic::wire::ExchangeError;
+use crate::traffic::wire::KeptResponse;
 use crate::traffic::wire::Pool;
 use crate::traffic::wire::PoolLimits;
 
-/// Limits of the connections for calls about keys. Most calls are sequential; a release occupies a
-/// connection until the work on its keys ends, and other calls use another connection meanwhile.
+/// Limits of the connections for grants. Most are sequential.
 const POOL_LIMITS: PoolLimits = PoolLimits {
     dial_timeout: Duration::from_millis(300),
     idle_timeout: Duration::from_secs(6),
@@ -130,7 +129,7 @@
         };
         let exchange = self
             .pool
-            .exchange_deferred(address, Some(heartbeat_at), build_request);
+            .exchange_deferred(address, heartbeat_at, build_request);
         // An exchange that is dropped at its timeout closes the call's connection.
         let result = tokio::time::timeout(self.times.call_timeout, exchange).await;
         let Some((sent, time)) = sent.get() else {
@@ -138,24 +137,26 @@
         };
         let now = clock::now();
         match status_of(result) {
-            Some(StatusCode::OK) => KeyCallOutcome::Granted {
+            Some((StatusCode::OK, _)) => KeyCallOutcome::Granted {
                 sent,
                 answered: now,
                 time,
             },
-            Some(StatusCode::CONFLICT) => KeyCallOutcome::StaleToken,
-            Some(status) if status.is_client_error() => KeyCallOutcome::Rejected,
-            // Any other failure leaves open whether the server applied the grant.
+            Some((StatusCode::CONFLICT, true)) => KeyCallOutcome::StaleToken,
+            Some((status, true)) if status.is_client_error() => KeyCallOutcome::Rejected,
+            // Any other failure leaves open whether the server applied the grant, and so does one on a
+            // connection that has carried another call: it may be the response to that one.
             Some(_) | None => KeyCallOutcome::Unanswered { closed: now, time },
         }
     }
 
     async fn release(&self, address: SocketAddr, held: HeldRange) -> KeyCallOutcome {
-        let build_request = || Some(with_host(release_request(held), address));
-        let exchange = self.pool.exchange_deferred(address, None, build_request);
+        // Others are granted the keys on the word of this response alone.
+        let request = with_host(release_request(held), address);
+        let exchange = self.pool.exchange_alone(address, request);
         let result = tokio::time::timeout(RELEASE_TIMEOUT, exchange).await;
         match result {
-            Ok(Ok(Some(response))) if response.status() == StatusCode::OK => {
+            Ok(Ok(response)) if response.status() == StatusCode::OK => {
                 KeyCallOutcome::Released(read_handover(response.headers()))
             }
             Ok(Ok(_)) => KeyCallOutcome::Rejected,
@@ -169,10 +170,12 @@
 }
 
 type ExchangeResult =
-    Result<Result<Option<Response<Bytes>>, ExchangeError>, tokio::time::error::Elapsed>;
+    Result<Result<Option<KeptResponse>, ExchangeError>, tokio::time::error::Elapsed>;
 
-fn status_of(result: ExchangeResult) -> Option<StatusCode> {
-    result.ok()?.ok()?.map(|response| response.status())
+/// Returns the status, and whether it came on a connection that had carried no other call.
+fn status_of(result: ExchangeResult) -> Option<(StatusCode, bool)> {
+    let kept = result.ok()?.ok()??;
+    Some((kept.response.status(), kept.is_first))
 }
 
 fn with_host(request: Request<Vec<u8>>, address: SocketAddr) -> Request<Full<Bytes>> {
--- a/crates/rack/src/traffic/wire/connection.rs
+++ b/crates/rack/src/traffic/wire/connection.rs
@@ -18,6 +18,8 @@
     pub(super) opened_at: Moment,
     pub(super) sender: SendRequest<Full<Bytes>>,
     pub(super) task: AbortHandle,
+    /// Whether it has carried a request, so that further responses to that may still come.
+    pub(super) is_used: bool,
     /// The calls that it has carried and that may still be repeated.
     pub(super) carried: Vec<CallTag>,
 }
@@ -45,6 +47,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<SendOutcome, ExchangeError> {
+        self.is_used = true;
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -21,6 +21,7 @@
 pub(super) use listen::listen;
 pub(super) use paced_stream::PacedStream;
 pub(crate) use pool::ExchangeError;
+pub(crate) use pool::KeptResponse;
 pub(crate) use pool::Pool;
 pub(crate) use pool::PoolLimits;
 pub(crate) use pool::Reuse;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -49,6 +49,14 @@
     pub(crate) tag: Option<CallTag>,
 }
 
+/// A response that came on a kept connection.
+#[derive(Debug)]
+pub(crate) struct KeptResponse {
+    pub(crate) response: Response<Bytes>,
+    /// Whether nothing was sent on the connection before, so that it can't be a response to another request.
+    pub(crate) is_first: bool,
+}
+
 /// Why an exchange brought no complete response.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -125,35 +133,47 @@
 
     /// Sends a request that is built only once a connection is free, because its content depends on
     /// the time. Returns `None` if `build_request` does, or if no connection that was opened before
-    /// the given moment is left.
+    /// the given moment is left. A connection is kept only after a success: a second copy of any
+    /// other response would be taken for the failure of a later call.
     pub(crate) async fn exchange_deferred<M>(
         &self,
         address: SocketAddr,
-        before: Option<Moment>,
+        before: Moment,
         build_request: M,
-    ) -> Result<Option<Response<Bytes>>, ExchangeError>
+    ) -> Result<Option<KeptResponse>, ExchangeError>
     where
         M: Fn() -> Option<Request<Full<Bytes>>>,
     {
-        let any = Reuse {
-            idle_limit: self.limits.idle_timeout,
-            tag: None,
-        };
         loop {
-            let mut connection = match before {
-                None => self.take_or_open(address, &any).await?,
-                Some(before) => match self.wait_opened_before(address, before).await {
-                    Some(connection) => connection,
-                    None => return Ok(None),
-                },
+            let Some(mut connection) = self.wait_opened_before(address, before).await else {
+                return Ok(None);
             };
+            let is_first = !connection.is_used;
             let Some(request) = build_request() else {
                 self.put_back(address, connection);
                 return Ok(None);
             };
             if let SendOutcome::Answered(response) = connection.send(request).await? {
-                self.put_back(address, connection);
-                return Ok(Some(response));
+                if response.status().is_success() {
+                    self.put_back(address, connection);
+                }
+                return Ok(Some(KeptResponse { response, is_first }));
+            }
+        }
+    }
+
+    /// Sends a request on a connection of its own, so that its response can't be one to another request.
+    pub(crate) async fn exchange_alone(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let mut request = request;
+        loop {
+            let mut connection = self.open(address).await?;
+            match connection.send(request).await? {
+                SendOutcome::Answered(response) => return Ok(response),
+                SendOutcome::Unwritten(unsent) => request = unsent,
             }
         }
     }
@@ -282,6 +302,7 @@
             opened_at,
             sender,
             task: task.abort_handle(),
+            is_used: false,
             carried: Vec::new(),
         })
     }
--- a/crates/rack/tests/system/second_answers.rs
+++ b/crates/rack/tests/system/second_answers.rs
@@ -1,9 +1,11 @@
 //! Servers that send a response a second time, where the next one is expected.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use reqwest::StatusCode;
 
+use super::support::CopiedResponses;
 use super::support::World;
 
 const START: Duration = Duration::from_secs(30);
@@ -20,7 +22,7 @@
         let id = format!("warm-up-{warm_up}");
         world.request(1, &id, "/keyed/1", Some(warm_up)).await;
     }
-    server.copy_refusals();
+    server.copy_responses(CopiedResponses::Refusals);
     let mut served = 0;
     for number in 0..REQUESTS {
         let id = format!("once-{number}");
@@ -38,3 +40,39 @@
         "only {served} of {REQUESTS} are repeated and served"
     );
 }
+
+/// Guards against two servers at work on a key: a server is to release its keys, and the second copy of its
+/// response to a grant is taken for the word that its work on them has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn grant() {
+    let world = World::start_by_call(&["keyed", "keyed", "plain"]).await;
+    world.wait_until_served(START).await;
+    let server = &world.hosts[0].server;
+    server.set_service_time(Duration::from_millis(900));
+    server.copy_responses(CopiedResponses::Grants);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let requests = (0..8_u16).map(|number| {
+        let world = &world;
+        async move {
+            let key = number * 8_192 + 1;
+            let id = format!("long-{number}");
+            world.request(2, &id, "/keyed/1", Some(key)).await;
+        }
+    });
+    let leaving = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        server.drain();
+        let mut overlaps = BTreeSet::new();
+        for _ in 0..100 {
+            overlaps.extend(world.hosts[1].server.granted_keys_running_at(server));
+            tokio::time::sleep(Duration::from_millis(8)).await;
+        }
+        overlaps
+    };
+    let (_, overlaps) = tokio::join!(futures::future::join_all(requests), leaving);
+    assert!(
+        overlaps.is_empty(),
+        "granted to another while at work on them: {overlaps:?}"
+    );
+    assert!(server.released() > 0, "nothing was released");
+}
--- a/crates/rack/tests/system/support/call_grants.rs
+++ b/crates/rack/tests/system/support/call_grants.rs
@@ -125,6 +125,13 @@
 }
 
 impl StandInServer {
+    /// Returns the keys that this server was granted while another is at work on them.
+    pub fn granted_keys_running_at(&self, other: &StandInServer) -> Vec<u16> {
+        let running = other.lock().running.clone();
+        let granted = |key: &u16| self.lock().call_grants.holds(*key);
+        running.into_iter().filter(granted).collect()
+    }
+
     /// Handles a call that grants or releases keys.
     pub(super) async fn handle_call(&self, call: Call) -> Response {
         // A crashed server applies no calls.
--- a/crates/rack/tests/system/support/copying_stream.rs
+++ b/crates/rack/tests/system/support/copying_stream.rs
@@ -1,10 +1,9 @@
-//! A connection on which a faulty server sends a refusal a second time, where the next response is expected.
+//! A connection on which a faulty server sends a response a second time, where the next one is expected.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
 use std::task::Context;
 use std::task::Poll;
 
@@ -15,22 +14,55 @@
 
 /// What every refusal contains.
 const REFUSAL: &[u8] = b"x-not-executed";
+const GRANT: &[u8] = b"POST /grant";
+const RELEASE: &[u8] = b"POST /release";
+
+/// Which responses are sent twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum CopiedResponses {
+    #[default]
+    None,
+    /// Refusals of requests, before the response to the next request.
+    Refusals,
+    /// Responses to grants, before the response to a release.
+    Grants,
+}
 
-/// Sends refusals twice while `active`.
 pub struct CopyingStream {
     inner: TcpStream,
-    active: Arc<AtomicBool>,
+    copied: Arc<Mutex<CopiedResponses>>,
+    is_grant: bool,
     copy: Option<Vec<u8>>,
 }
 
 impl CopyingStream {
-    pub fn new(inner: TcpStream, active: Arc<AtomicBool>) -> Self {
+    pub fn new(inner: TcpStream, copied: Arc<Mutex<CopiedResponses>>) -> Self {
         Self {
             inner,
-            active,
+            copied,
+            is_grant: false,
             copy: None,
         }
     }
+
+    fn begin_request(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.is_grant = bytes.starts_with(GRANT);
+        let copied = *self.copied.lock().unwrap();
+        let fits = copied != CopiedResponses::Grants || bytes.starts_with(RELEASE);
+        if let Some(copy) = self.copy.take().filter(|_| fits) {
+            // Such a response fits into the socket's buffer.
+            self.inner.try_write(&copy)?;
+        }
+        Ok(())
+    }
+
+    fn is_copied(&self, bytes: &[u8]) -> bool {
+        match *self.copied.lock().unwrap() {
+            CopiedResponses::None => false,
+            CopiedResponses::Refusals => bytes.windows(REFUSAL.len()).any(|part| part == REFUSAL),
+            CopiedResponses::Grants => self.is_grant,
+        }
+    }
 }
 
 impl AsyncRead for CopyingStream {
@@ -41,11 +73,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.inner).poll_read(context, buffer);
-        if buffer.filled().len() > before
-            && let Some(copy) = self.copy.take()
-        {
-            // A refusal fits into the socket's buffer.
-            self.inner.try_write(&copy)?;
+        let bytes = &buffer.filled()[before..];
+        if bytes.starts_with(b"GET ") || bytes.starts_with(b"POST ") {
+            self.begin_request(bytes)?;
         }
         read
     }
@@ -57,8 +87,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let is_refusal = bytes.windows(REFUSAL.len()).any(|part| part == REFUSAL);
-        if is_refusal && self.active.load(Ordering::Relaxed) {
+        if self.is_copied(bytes) {
             self.copy = Some(bytes.to_vec());
         }
         Pin::new(&mut self.inner).poll_write(context, bytes)
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -18,6 +18,7 @@
 pub use content_checker::Content;
 pub use content_checker::ContentChecker;
 pub use content_checker::ContentRecord;
+pub use copying_stream::CopiedResponses;
 pub use node_process::Lines;
 pub use node_process::NodeProcess;
 pub use node_process::keep_logs;
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -5,8 +5,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -36,6 +34,7 @@
 use super::call_grants::CallFault;
 use super::call_grants::CallGrants;
 use super::content_checker::Content;
+use super::copying_stream::CopiedResponses;
 use super::copying_stream::CopyingStream;
 use super::truth::HeldRange;
 use super::truth::Truth;
@@ -104,8 +103,8 @@
     silent: bool,
     /// Ids of requests that it refuses when they first arrive.
     refused_once: HashSet<String>,
-    /// Whether it sends its refusals twice.
-    copies_refusals: Arc<AtomicBool>,
+    /// Which responses it sends twice.
+    copied: Arc<Mutex<CopiedResponses>>,
     /// Value of the header with its rate limit, if it names one.
     limit: Option<String>,
     /// Whether its responses say that it is leaving.
@@ -188,8 +187,8 @@
         let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
             counting.lock().connections += 1;
-            let copies = Arc::clone(&counting.lock().copies_refusals);
-            let stream = CopyingStream::new(stream, copies);
+            let copied = Arc::clone(&counting.lock().copied);
+            let stream = CopyingStream::new(stream, copied);
             let service = TowerToHyperService::new(router.clone());
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             connections.spawn(connection);
@@ -525,9 +524,9 @@
         self.lock().refused_once.insert(id.to_owned());
     }
 
-    /// Sends its refusals a second time from now on.
-    pub fn copy_refusals(&self) {
-        self.lock().copies_refusals.store(true, Ordering::Relaxed);
+    /// Sends some of its responses a second time from now on.
+    pub fn copy_responses(&self, copied: CopiedResponses) {
+        *self.lock().copied.lock().unwrap() = copied;
     }
 
     /// Sends the final call of a server that shuts down; returns whether it is acknowledged.
