mesh: a heartbeat of a service that nobody names says nothing of the host's server

Two servers held the same keys for over a second (review_holders, OWNER): one heartbeat of another writer, for a service that isn't named anywhere, replaced what the node knew of its server with all its grants; the leader took the keys for free and granted them to others.

The state machine took any heartbeat with another incarnation for the server's next life. One that names neither the host's service nor another of the operators' document is now acknowledged and changes nothing.

other_writers::unnamed_service failed before.

--- a/crates/mesh/src/ownership/node_machine/server_events.rs
+++ b/crates/mesh/src/ownership/node_machine/server_events.rs
@@ -6,6 +6,7 @@
 use super::log_entry::log_event;
 use crate::model::Granting;
 use crate::model::OperatorsIntent;
+use crate::model::ServerHeartbeat;
 use crate::ownership::Action;
 use crate::ownership::HeartbeatAnswer;
 use crate::ownership::ServerEvent;
@@ -34,7 +35,7 @@
                     );
                     log_event(actions, "server_life", epoch, detail);
                 }
-                if self.is_before_departure(&heartbeat) {
+                if !self.names_known_service(&heartbeat) || self.is_before_departure(&heartbeat) {
                     actions.push(Action::AnswerHeartbeat(HeartbeatAnswer::Acknowledged));
                     return;
                 }
@@ -80,6 +81,14 @@
         self.server.ran_before()
     }
 
+    /// Tells whether a heartbeat names the host's service, or another one of the operators' document. What
+    /// another writer sends says nothing about the server here, which goes on holding its keys.
+    fn names_known_service(&self, heartbeat: &ServerHeartbeat) -> bool {
+        let config = self.intent.config.as_ref();
+        heartbeat.service == self.profile.service
+            || config.is_some_and(|config| config.services.contains_key(&heartbeat.service))
+    }
+
     /// Returns how keys are granted to the backend server.
     pub(super) fn granting(&self) -> Granting {
         let config = self.intent.config.as_ref();
