core, mesh, rack: a fleet that has started anew waits until all say that they know nothing

Callers waited up to 1.5 s after all processes had been killed together: since a process lets requests wait until one that knows under which requests servers ended has answered, and then nobody does.

A process now also goes on once every node that ran before it, which the leader's record names as voters, has answered that it knows nothing; one that is missing may be the one that knows, so then the 1.5 s stand, as in fleets of over 32 nodes. No new message: the questions are those that are asked anyway.

--- a/crates/core/src/traffic/poison/peer_query.rs
+++ b/crates/core/src/traffic/poison/peer_query.rs
@@ -1,6 +1,7 @@
 //! Which nodes a process asks at its start.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::time::Moment;
@@ -14,6 +15,9 @@
 /// How long after an earlier question such a node is asked again.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How many nodes a process asks for all of them to say that they know nothing.
+const MAX_FLEET: usize = 32;
+
 /// Chooses whom a process asks for what the one before it may have known. A node that has just started itself
 /// knows no more, and is asked again. `K` names a node: by its name, or by its address where names are not known
 /// yet.
@@ -22,6 +26,8 @@
     end: Moment,
     asked: BTreeMap<K, u32>,
     answers: usize,
+    /// The nodes that have answered that they know nothing yet.
+    uninformed: BTreeSet<K>,
 }
 
 impl<K> PeerQuery<K>
@@ -34,6 +40,7 @@
             end: now + ASKING_TIME,
             asked: BTreeMap::new(),
             answers: 0,
+            uninformed: BTreeSet::new(),
         }
     }
 
@@ -70,6 +77,16 @@
         if informed {
             self.answers += 1;
             self.asked.insert(node.clone(), MAX_TIMES_ASKED);
+        } else {
+            self.uninformed.insert(node.clone());
         }
     }
+
+    /// Tells whether nobody knows anything: all of these, the nodes that ran before this process, have
+    /// answered so. One that is missing may be the one that knows. Large fleets are not asked one by one.
+    pub fn is_fleet_uninformed(&self, own: &K, ran_before: &BTreeSet<K>) -> bool {
+        let mut others = ran_before.iter().filter(|node| *node != own);
+        (1..=MAX_FLEET).contains(&ran_before.len())
+            && others.all(|node| self.uninformed.contains(node))
+    }
 }
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use quetzalrack_core::ids::NodeName;
@@ -261,6 +262,25 @@
     assert_eq!(query.time_left(at(1)), Some(Duration::from_millis(9_999)));
 }
 
+/// Guards against requests that wait for news where every process of the fleet has just started, and against a
+/// process that takes the others for uninformed while the one that knows is slow to answer.
+#[test]
+fn fleet_restarts() {
+    let others = nodes(5);
+    let own = &others[0];
+    let ran_before: BTreeSet<NodeName> = others.iter().cloned().collect();
+    let mut query = PeerQuery::new(at(0));
+    assert!(!query.is_fleet_uninformed(own, &BTreeSet::new()));
+    for node in &others[1..] {
+        assert!(
+            !query.is_fleet_uninformed(own, &ran_before),
+            "without {node}"
+        );
+        query.record_answer(node, false);
+    }
+    assert!(query.is_fleet_uninformed(own, &ran_before));
+}
+
 /// Guards against a node that takes what an uninformed one tells for all that is known.
 #[test]
 fn ends_as_text() {
--- a/crates/mesh/src/ownership/node_machine/leader_change.rs
+++ b/crates/mesh/src/ownership/node_machine/leader_change.rs
@@ -1,5 +1,6 @@
 //! Finding a new leader, following it, and becoming the leader.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use quetzalrack_core::time::Moment;
@@ -18,6 +19,8 @@
 use crate::ownership::leader::Leader;
 use crate::ownership::leader::LeaderClaim;
 
+/// For how long after the start of a process its records tell which nodes ran before it.
+const EARLY_TIME: Duration = Duration::from_secs(5);
 /// How often peers are asked whether the leader responds to them.
 const QUERY_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -222,6 +225,10 @@
     /// A node that kept it would ask no peer whether the leader still responds, and could only wait until
     /// the leader stops refreshing its record.
     pub(super) fn follow(&mut self, now: Moment, record: LeaderRecord, actions: &mut Vec<Action>) {
+        if now.since(self.started) < EARLY_TIME {
+            let voters = record.voters.iter().map(|voter| voter.node.clone());
+            Arc::make_mut(&mut self.early_voters).extend(voters);
+        }
         let epoch = record.epoch;
         if let Some(followed) = &mut self.followed
             && followed.record.epoch == epoch
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -13,8 +13,10 @@
 pub use log_entry::LogEntry;
 pub use node_profile::NodeProfile;
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::time::Moment;
@@ -65,6 +67,8 @@
     /// When the last reply of an earlier leader arrived. Initially the start of this process, since the
     /// process before it may have applied replies until then.
     prior_reply: Moment,
+    /// The voters of all records seen in this process's first seconds.
+    early_voters: Arc<BTreeSet<NodeName>>,
     /// The newest epoch in which this process has stood down.
     ended_epoch: Epoch,
     directory: Directory,
@@ -109,6 +113,7 @@
             followed: None,
             read_epoch: None,
             prior_reply: now,
+            early_voters: Arc::default(),
             ended_epoch: Epoch::default(),
             directory: Directory::default(),
             search: LeaderSearch::default(),
@@ -220,6 +225,11 @@
         self.heartbeat_due
     }
 
+    /// Returns the voters of all records seen in this process's first seconds: the nodes that ran before it.
+    pub fn early_voters(&self) -> Arc<BTreeSet<NodeName>> {
+        Arc::clone(&self.early_voters)
+    }
+
     /// Tells whether this node is the leader.
     pub fn is_leader(&self) -> bool {
         self.leader.is_some()
--- a/crates/rack/src/control/control_runner.rs
+++ b/crates/rack/src/control/control_runner.rs
@@ -241,6 +241,7 @@
             self.view.intent = Arc::new(intent.clone());
         }
         self.view.confirmed = self.machine.intent_confirmed();
+        self.view.voters = self.machine.early_voters();
         self.view.directory = Arc::new(self.machine.directory().clone());
         self.view.server = self.machine.server().map(|server| ServerView {
             incarnation: server.incarnation.clone(),
--- a/crates/rack/src/shared/node_view.rs
+++ b/crates/rack/src/shared/node_view.rs
@@ -1,7 +1,9 @@
 //! View of the control state for the traffic thread.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::ids::ServiceName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::OperatorsIntent;
@@ -23,6 +25,8 @@
     pub routes: Option<Arc<RouteTable>>,
     /// The backend server beside the node, if one is usable.
     pub server: Option<ServerView>,
+    /// All nodes that leaders have named as voters since this process started.
+    pub voters: Arc<BTreeSet<NodeName>>,
     /// Whether the node is shutting down.
     pub shutting_down: bool,
 }
--- a/crates/rack/src/traffic/suspects/exchange.rs
+++ b/crates/rack/src/traffic/suspects/exchange.rs
@@ -59,7 +59,8 @@
             if let Some(news) = self.hops.fetch_suspects(address).await {
                 self.suspects.receive(&news);
                 query.record_answer(&node, news.informed);
-                if news.informed {
+                let ran_before = &self.board.view().voters;
+                if news.informed || query.is_fleet_uninformed(&self.node_name, ran_before) {
                     self.suspects.set_informed();
                 }
             }
