--- a/crates/mesh/src/ownership/node_machine/peer_messages.rs
+++ b/crates/mesh/src/ownership/node_machine/peer_messages.rs
@@ -46,14 +46,7 @@
     ) {
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
-                let led_epoch = self.leader.as_ref().map(|leader| leader.record().epoch);
-                if led_epoch == Some(heartbeat.epoch) {
-                    self.record_reported_departures(now, &heartbeat);
-                }
-                if let Some(leader) = &mut self.leader {
-                    leader.set_intent_confirmed(self.intent_poller.confirmed());
-                    leader.handle_heartbeat(now, from, &heartbeat, &self.departures, actions);
-                }
+                self.handle_node_heartbeat(now, from, &heartbeat, actions);
             }
             PeerMessage::Reply(reply) => self.apply_reply(now, &reply, actions),
             PeerMessage::LeaderQuery {
@@ -92,6 +85,25 @@
         }
     }
 
+    fn handle_node_heartbeat(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        heartbeat: &NodeHeartbeat,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        leader.set_intent_confirmed(self.intent_poller.confirmed());
+        if leader.record().epoch == heartbeat.epoch {
+            self.record_reported_departures(now, heartbeat);
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.handle_heartbeat(now, from, heartbeat, &self.departures, actions);
+        }
+    }
+
     /// Returns the reply to a query whether the leader of an epoch responds to this node.
     fn leader_status(&self, now: Moment, epoch: Epoch) -> PeerMessage {
         let responsive =
--- a/crates/mesh/src/ownership/node_machine/server_events.rs
+++ b/crates/mesh/src/ownership/node_machine/server_events.rs
@@ -25,30 +25,7 @@
     ) {
         match event {
             ServerEvent::Heartbeat(heartbeat) => {
-                let incarnation = heartbeat.incarnation.clone();
-                if self.server.incarnation() != Some(&incarnation) {
-                    let epoch = self.epoch().unwrap_or_default();
-                    let detail = format!(
-                        "{incarnation}, heartbeat {}, holds {} ranges",
-                        heartbeat.sequence,
-                        heartbeat.holds.len()
-                    );
-                    log_event(actions, "server_life", epoch, detail);
-                }
-                if !self.names_known_service(&heartbeat) || self.is_before_departure(&heartbeat) {
-                    actions.push(Action::AnswerHeartbeat(HeartbeatAnswer::Acknowledged));
-                    return;
-                }
-                self.record_draining_heartbeat(now, &heartbeat);
-                let granting = self.granting();
-                let lease = usable_lease(now, &self.lease, &self.intent);
-                let answer =
-                    self.server
-                        .handle_heartbeat(now, heartbeat, granting, lease, &self.times);
-                if self.server.incarnation() == Some(&incarnation) {
-                    self.server_lost = false;
-                }
-                actions.push(Action::AnswerHeartbeat(answer));
+                self.handle_server_heartbeat(now, heartbeat, actions);
             }
             ServerEvent::Leaving { id, started_ms } => {
                 self.record_leaving(now, id, started_ms, actions);
@@ -70,6 +47,38 @@
         actions.push(Action::Publish);
     }
 
+    fn handle_server_heartbeat(
+        &mut self,
+        now: Moment,
+        heartbeat: ServerHeartbeat,
+        actions: &mut Vec<Action>,
+    ) {
+        let incarnation = heartbeat.incarnation.clone();
+        if self.server.incarnation() != Some(&incarnation) {
+            let epoch = self.epoch().unwrap_or_default();
+            let detail = format!(
+                "{incarnation}, heartbeat {}, holds {} ranges",
+                heartbeat.sequence,
+                heartbeat.holds.len()
+            );
+            log_event(actions, "server_life", epoch, detail);
+        }
+        if !self.names_known_service(&heartbeat) || self.is_before_departure(&heartbeat) {
+            actions.push(Action::AnswerHeartbeat(HeartbeatAnswer::Acknowledged));
+            return;
+        }
+        self.record_draining_heartbeat(now, &heartbeat);
+        let granting = self.granting();
+        let lease = usable_lease(now, &self.lease, &self.intent);
+        let answer = self
+            .server
+            .handle_heartbeat(now, heartbeat, granting, lease, &self.times);
+        if self.server.incarnation() == Some(&incarnation) {
+            self.server_lost = false;
+        }
+        actions.push(Action::AnswerHeartbeat(answer));
+    }
+
     /// Tells whether the backend server is leaving, by its heartbeats or its responses.
     pub fn is_server_draining(&self) -> bool {
         let newest = self.server.newest();
--- a/crates/mesh/tests/ownership_support/fleet/checks.rs
+++ b/crates/mesh/tests/ownership_support/fleet/checks.rs
@@ -1,6 +1,7 @@
 //! Invariants checked after every grant, renewal or release at a server.
 
 use quetzalrack_mesh::model::KeyRange;
+use quetzalrack_mesh::model::ServerIncarnation;
 
 use super::Fleet;
 
@@ -36,11 +37,14 @@
             }
         }
         let incarnation = server.incarnation.clone();
-        let granted: Vec<(KeyRange, u64)> = server
-            .holdings
-            .iter()
-            .map(|holding| (holding.held.keys, holding.held.fence.0))
-            .collect();
+        let granted = server.holdings.iter();
+        let granted = granted.map(|holding| (holding.held.keys, holding.held.fence.0));
+        self.check_tokens(&incarnation, granted.collect());
+    }
+
+    /// Checks that an incarnation gets keys with a token above those of all others.
+    fn check_tokens(&mut self, incarnation: &ServerIncarnation, granted: Vec<(KeyRange, u64)>) {
+        let now = self.now;
         for (keys, fence) in granted {
             // The ends and the middle of each range are sample enough.
             for key in [
@@ -49,7 +53,7 @@
                 keys.last,
             ] {
                 let (highest, holder) = self.highest_fences.entry(key).or_default();
-                let is_known = holder.as_ref() == Some(&incarnation);
+                let is_known = holder.as_ref() == Some(incarnation);
                 if fence < *highest || (fence == *highest && !is_known) {
                     self.violation = Some(format!(
                         "{now}: key {key} had token {highest} at {holder:?}, and {incarnation} gets it with {fence}"
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -14,9 +14,10 @@
 use hyper_util::rt::TokioIo;
 use quetzalrack_core::time::Moment;
 
-use super::CallTag;
+use super::KeptResponse;
 use super::LinkPacer;
 use super::PacedStream;
+use super::Reuse;
 use super::WriteLimiter;
 use super::connection::Connection;
 use super::connection::SendOutcome;
@@ -39,24 +40,6 @@
     pub(crate) max_idle: usize,
 }
 
-/// Which open connections may carry a request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Reuse {
-    /// How long a connection may have been idle; a peer that closes idle connections resets what is sent on
-    /// them next.
-    pub(crate) idle_limit: Duration,
-    /// The call, if its response is told by an id: a connection that has carried it is not used again.
-    pub(crate) tag: Option<CallTag>,
-}
-
-/// A response that came on a kept connection.
-#[derive(Debug)]
-pub(crate) struct KeptResponse {
-    pub(crate) response: Response<Bytes>,
-    /// Whether nothing was sent on the connection before, so that it can't be a response to another request.
-    pub(crate) is_first: bool,
-}
-
 /// Why an exchange brought no complete response.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -325,26 +325,23 @@
 
     /// Sends a request with a body that may run once only.
     pub async fn post(&self, index: usize, id: &str, path: &str, body: &str) -> ClientResponse {
-        let request = self
-            .http
-            .post(format!("http://{}{path}", self.hosts[index].clients))
-            .header("host", "shop.example")
-            .header("x-request-id", id)
-            .header("x-deadline-ms", "1500")
-            .body(body.to_owned());
+        let request = self.build_post(index, id, path).body(body.to_owned());
         self.send(index, id, request).await
     }
 
     /// Sends a request with a key that may run once only.
     pub async fn post_keyed(&self, index: usize, id: &str, path: &str, key: u16) -> ClientResponse {
-        let request = self
-            .http
+        let request = self.build_post(index, id, path);
+        let request = request.header("x-shard-key", key.to_string());
+        self.send(index, id, request).await
+    }
+
+    fn build_post(&self, index: usize, id: &str, path: &str) -> RequestBuilder {
+        self.http
             .post(format!("http://{}{path}", self.hosts[index].clients))
             .header("host", "shop.example")
             .header("x-request-id", id)
             .header("x-deadline-ms", "1500")
-            .header("x-shard-key", key.to_string());
-        self.send(index, id, request).await
     }
 
     async fn send(&self, index: usize, id: &str, request: RequestBuilder) -> ClientResponse {
