--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -194,7 +194,9 @@
             sequence: heartbeat.sequence,
             sent_at: now.0,
             lease: milliseconds(lease),
-            early_heartbeat: !current || self.expects_keys(&node) || departures.has_unwitnessed(),
+            early_heartbeat: !current
+                || self.expects_keys(&node)
+                || (departures.has_unwitnessed() && !self.is_alone()),
             assignment,
             update: self.update_for(heartbeat),
             intent_offset: self.intent.offset,
