--- /dev/null
+++ b/review/stand_ins_4/main.rs
@@ -0,0 +1,41 @@
+//! The cases of the review that are scripts. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the
+//! case could not run.
+
+mod case_drain;
+mod case_owner;
+mod case_pipeline;
+mod client;
+mod deployment;
+mod http;
+mod json;
+mod node;
+mod record;
+mod server;
+mod store;
+
+use std::path::PathBuf;
+
+/// How a case ended.
+pub enum Verdict {
+    Held,
+    Broken,
+    NotRun,
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let case = arguments.next().unwrap_or_default();
+    let record = PathBuf::from(arguments.next().expect("the path of the record"));
+    let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let verdict = match case.as_str() {
+        "owner" => case_owner::play(&record, trouble),
+        "pipeline" => case_pipeline::play(&record, trouble),
+        "drain" => case_drain::play(&record, trouble),
+        other => panic!("no case {other:?}"),
+    };
+    std::process::exit(match verdict {
+        Verdict::Held => 0,
+        Verdict::Broken => 1,
+        Verdict::NotRun => 2,
+    });
+}
