--- a/review/stand_ins_4/case_drain.rs
+++ b/review/stand_ins_4/case_drain.rs
@@ -22,7 +22,7 @@
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(2_500);
 
 pub fn play(record: &Path, trouble: bool) -> Verdict {
-    let mut world = Deployment::start(4, false, Duration::from_millis(120));
+    let mut world = Deployment::start(4, None, Duration::from_millis(120));
     world.start_servers();
     let verdict = if world.wait_serving() { run(&mut world, trouble) } else { Verdict::NotRun };
     world.finish();
--- a/review/stand_ins_4/case_owner.rs
+++ b/review/stand_ins_4/case_owner.rs
@@ -15,7 +15,7 @@
 use crate::client::Client;
 use crate::deployment::Deployment;
 use crate::record::Record;
-use crate::server::Server;
+use crate::server::{Grants, Server};
 
 /// The bound of the rule: two servers may not hold the same keys for longer.
 const MAX_OVERLAP: Duration = Duration::from_millis(500);
@@ -24,7 +24,7 @@
 const KEY_STEP: u32 = 64;
 
 pub fn play(record: &Path, trouble: bool) -> Verdict {
-    let mut world = Deployment::start(4, true, Duration::from_millis(60));
+    let mut world = Deployment::start(4, Some(Grants::Heartbeat), Duration::from_millis(60));
     let verdict = if world.wait_leader() { run(&mut world, trouble) } else { Verdict::NotRun };
     world.finish();
     world.write_record(record);
--- a/review/stand_ins_4/case_pipeline.rs
+++ b/review/stand_ins_4/case_pipeline.rs
@@ -21,7 +21,7 @@
 const REQUESTS: usize = 3;
 
 pub fn play(record: &Path, trouble: bool) -> Verdict {
-    let mut world = Deployment::start(4, false, WORK);
+    let mut world = Deployment::start(4, None, WORK);
     world.start_servers();
     let verdict = if world.wait_serving() { run(&mut world, trouble) } else { Verdict::NotRun };
     world.finish();
--- a/review/stand_ins_4/deployment.rs
+++ b/review/stand_ins_4/deployment.rs
@@ -11,7 +11,7 @@
 use crate::client::Client;
 use crate::node::Node;
 use crate::record::Record;
-use crate::server::{Plan, Server};
+use crate::server::{Grants, Plan, Server};
 use crate::store::Store;
 
 pub const SERVICE: &str = "order-book";
@@ -29,8 +29,9 @@
 }
 
 impl Deployment {
-    /// Starts machines for one service, each with its process and without its server.
-    pub fn start(machines: usize, keyed: bool, work: Duration) -> Self {
+    /// Starts machines for one service, each with its process and without its server. The service is divided by key if
+    /// `keyed` says how keys are granted.
+    pub fn start(machines: usize, keyed: Option<Grants>, work: Duration) -> Self {
         let record = Record::new();
         let subnet = free_subnet();
         let address = |host: usize, port: u16| -> SocketAddr {
@@ -78,13 +79,14 @@
         wait_until(START_TIMEOUT, || self.nodes.iter().any(|node| node.led_epoch().is_some()))
     }
 
-    fn add_machine(&mut self, index: usize, keyed: bool, work: Duration, address: &dyn Fn(usize, u16) -> SocketAddr) {
+    fn add_machine(&mut self, index: usize, keyed: Option<Grants>, work: Duration, address: &dyn Fn(usize, u16) -> SocketAddr) {
         let host = index + 1;
         let name = format!("sidecar-{}-{}", ZONES[index % 4], 1 + index / 4);
         let plan = Plan {
             service: SERVICE.to_owned(),
             zone: ZONES[index % 4].to_owned(),
-            keyed,
+            keyed: keyed.is_some(),
+            grants: keyed.unwrap_or(Grants::Heartbeat),
             address: address(host, 8301),
             control: address(host, 8306),
             work,
@@ -172,13 +174,14 @@
     subnets.next().expect("a free loopback network")
 }
 
-fn config(keyed: bool) -> String {
+fn config(keyed: Option<Grants>) -> String {
     let route = |name: &str, kind: &str| {
         format!(
             r#"{{"resource_type":"routes","metadata":{{"name":"r-{name}"}},"spec":{{"host":"shop.example","path_prefix":"/{name}/","kind":"{kind}","timeout":"5000ms","target_latency":"500ms","priority":1,"service":"{SERVICE}","max_attempts":2}}}}"#
         )
     };
-    let sharded = if keyed { r#","sharded":true,"warm":"2s","grants":"heartbeat""# } else { "" };
+    let sharded = |grants: Grants| format!(r#","sharded":true,"warm":"2s","grants":"{}""#, grants.name());
+    let sharded = keyed.map(sharded).unwrap_or_default();
     format!(
         r#"{{"version":"r7","resources":[{},{},{{"resource_type":"services","metadata":{{"name":"{SERVICE}"}},"spec":{{"health_path":"/healthz","max_connections":130,"protocol":"h1","tls":false,"cold_start":"3s","cold_per_s":25.0{sharded}}}}},{{"resource_type":"limits","metadata":{{}},"spec":{{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"}}}}]}}"#,
         route("browse", "idempotent"),
@@ -188,8 +191,9 @@
 
 fn settings_text(name: &str, plan: &Plan, ip: IpAddr, store: SocketAddr) -> String {
     let Plan { zone, service, address, control, .. } = plan;
+    let grants = plan.grants.name();
     format!(
-        r#"grants = "heartbeat"
+        r#"grants = "{grants}"
 [self]
 node_name = "{name}"
 role = "rack"
--- a/review/stand_ins_4/main.rs
+++ b/review/stand_ins_4/main.rs
@@ -4,6 +4,8 @@
 mod case_drain;
 mod case_owner;
 mod case_pipeline;
+mod case_successor;
+mod case_token;
 mod client;
 mod deployment;
 mod http;
@@ -30,6 +32,8 @@
     let verdict = match case.as_str() {
         "owner" => case_owner::play(&record, trouble),
         "pipeline" => case_pipeline::play(&record, trouble),
+        "successor" => case_successor::play(&record, trouble),
+        "token" => case_token::play(&record, trouble),
         "drain" => case_drain::play(&record, trouble),
         other => panic!("no case {other:?}"),
     };
--- a/review/stand_ins_4/server.rs
+++ b/review/stand_ins_4/server.rs
@@ -24,11 +24,31 @@
 /// First key, last key and fencing token.
 pub type Row = (u16, u16, u64);
 
+/// How servers are granted keys.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Grants {
+    /// In the answers to their heartbeats.
+    Heartbeat,
+    /// By calls.
+    Call,
+}
+
+impl Grants {
+    /// Returns its name in the settings and the configuration.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Heartbeat => "heartbeat",
+            Self::Call => "request",
+        }
+    }
+}
+
 #[derive(Clone)]
 pub struct Plan {
     pub service: String,
     pub zone: String,
     pub keyed: bool,
+    pub grants: Grants,
     pub address: SocketAddr,
     /// Where the node beside the server takes heartbeats.
     pub control: SocketAddr,
@@ -57,6 +77,8 @@
     sequence: u64,
     holds: Vec<Row>,
     held_until: Option<Instant>,
+    /// What it was granted by calls, each with its end.
+    calls: Vec<(Row, Instant)>,
     releasing: Vec<Row>,
     freed: Vec<(u16, u16, String)>,
     seen: Vec<Row>,
@@ -123,6 +145,7 @@
         let mut state = self.lock();
         state.ended = true;
         state.holds.clear();
+        state.calls.clear();
         for stream in state.open.values() {
             stream.shutdown(Shutdown::Both).ok();
         }
@@ -142,8 +165,13 @@
     /// Returns what it holds now.
     pub fn holds(&self) -> Vec<Row> {
         let state = self.lock();
-        let valid = !state.ended && state.held_until.is_some_and(|until| Instant::now() < until);
-        if valid { state.holds.clone() } else { Vec::new() }
+        if state.ended {
+            return Vec::new();
+        }
+        let now = Instant::now();
+        let by_heartbeat = state.holds.iter().filter(|_| state.held_until.is_some_and(|until| now < until));
+        let by_call = state.calls.iter().filter(|(_, until)| now < *until).map(|(row, _)| row);
+        by_heartbeat.chain(by_call).copied().collect()
     }
 
     pub fn key_count(&self) -> u32 {
@@ -198,7 +226,7 @@
             r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":18,"state":"ready","cold_left":"0ms","sequence":{},"born":{}"#,
             state.sequence, self.born
         );
-        if *keyed {
+        if *keyed && self.plan.grants == Grants::Heartbeat {
             body += &format!(r#","holds":[{}],"freed":[{}]"#, rows.join(","), freed.join(","));
         }
         body += "}";
@@ -297,7 +325,11 @@
             if !self.is_up() {
                 return;
             }
-            let answer = self.handle(&request, reader.get_ref());
+            let answer = match request.path() {
+                "/grant" => Some(self.take_grant(&request)),
+                "/release" => Some(self.release(&request)),
+                _ => self.handle(&request, reader.get_ref()),
+            };
             let Some(answer) = answer else { return };
             if write_message(&mut writer, &answer).is_err() {
                 return;
@@ -305,6 +337,46 @@
         }
     }
 
+    /// Takes a grant by call unless it has seen a higher token on one of the keys. The hold counts from its arrival.
+    fn take_grant(&self, request: &Message) -> Message {
+        let arrived = Instant::now();
+        let body = Json::parse(&String::from_utf8_lossy(&request.body));
+        let time = body.as_ref().and_then(|body| body.get("hold_time")).and_then(Json::text).and_then(parse_time);
+        let (Some(row), Some(time)) = (body.as_ref().and_then(called_row), time) else {
+            return response("400 Bad Request", &[], "");
+        };
+        let mut state = self.lock();
+        if state.seen.iter().any(|seen| seen.0 <= row.1 && row.0 <= seen.1 && seen.2 > row.2) {
+            return response("409 Conflict", &[], "");
+        }
+        let is_first = !state.seen.contains(&row);
+        if is_first {
+            state.seen.push(row);
+        }
+        state.drop_called(row);
+        state.calls.push((row, arrived + time));
+        drop(state);
+        if is_first {
+            self.note(&format!("takes the grant {row:?} for {} ms", time.as_millis()));
+        }
+        response("200 OK", &[], "")
+    }
+
+    /// Releases keys, and answers when the work on them has ended.
+    fn release(&self, request: &Message) -> Message {
+        let body = Json::parse(&String::from_utf8_lossy(&request.body));
+        let Some(row) = body.as_ref().and_then(called_row) else {
+            return response("400 Bad Request", &[], "");
+        };
+        self.lock().drop_called(row);
+        self.note(&format!("releases {row:?}"));
+        while self.is_up() && self.lock().running_keys.iter().any(|key| (row.0..=row.1).contains(key)) {
+            thread::sleep(Duration::from_millis(3));
+        }
+        let handover = format!("{:016x}", row.2 * 65_536 + u64::from(row.0));
+        response("200 OK", &[("X-Handover", handover.as_str())], "")
+    }
+
     /// Runs a request; returns `None` if its connection has closed meanwhile.
     fn handle(&self, request: &Message, stream: &TcpStream) -> Option<Message> {
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
@@ -361,6 +433,11 @@
 }
 
 impl State {
+    fn drop_called(&mut self, row: Row) {
+        let parts = |(held, until): (Row, Instant)| without(held, &[row]).into_iter().map(move |part| (part, until));
+        self.calls = std::mem::take(&mut self.calls).into_iter().flat_map(parts).collect();
+    }
+
     /// Takes the rows of an answer; returns their text if they differ from the rows held before.
     fn take_rows(&mut self, rows: &[Row], until: Instant) -> Option<String> {
         let fits = |row: &&Row| {
@@ -394,6 +471,11 @@
     }
 }
 
+fn called_row(body: &Json) -> Option<Row> {
+    let number = |name: &str| body.get(name)?.number();
+    Some((number("from")? as u16, number("target_version")? as u16, number("fence")?))
+}
+
 /// Returns the parts of a row that no other row covers.
 fn without(row: Row, others: &[Row]) -> Vec<Row> {
     let mut others = others.to_vec();
