mesh: a heartbeat of an earlier incarnation is never taken for the next one

Cause: start times were compared only while the present incarnation had been heard within 2.5 s. A server that has left sends no heartbeats, so the late one of its earlier life, 4.8 s old, was taken for the next. The time stood for one thing only: the host's clock may have been set back between two starts.

Fix: the node reads the host's clock, to which start times belong, and knows by how much it was set back. An earlier start time is that of an earlier incarnation unless a step of the clock explains it. A process that started after the step does not know of it; an incarnation that goes on sending for 30 s is taken then, since nothing that is on its way from an ended one does. A server that leaves without saying when it started, and that nobody has heard, has started by now: its record no longer ends after 10 s.

--- a/crates/mesh/src/ownership/event.rs
+++ b/crates/mesh/src/ownership/event.rs
@@ -54,6 +54,9 @@
     Message(SocketAddr, PeerMessage),
     /// Something happened at the node's backend server.
     Server(ServerEvent),
+    /// The host's time of day was read, in Unix milliseconds: at the start, and when it was set. Start times of
+    /// the backend server are readings of the same clock.
+    HostClock(u64),
     /// A read of the leader's topic, begun at this time, ended.
     LeaderRead(quetzalrack_core::time::Moment, LeaderRead),
     /// An append to the leader's topic ended.
--- a/crates/mesh/src/ownership/node_machine/departures.rs
+++ b/crates/mesh/src/ownership/node_machine/departures.rs
@@ -53,18 +53,14 @@
         actions: &mut Vec<Action>,
     ) {
         let current = self.server.incarnation().filter(|own| own.id == id);
-        let incarnation = match started_ms {
-            Some(started_ms) => Some(ServerIncarnation {
-                id: id.clone(),
-                started_ms,
-            }),
-            None => current.cloned(),
-        };
-        let Some(incarnation) = incarnation else {
-            self.server.record_unseen_departure(now, id.clone());
-            actions.push(Action::AcknowledgeLeaving(id));
+        let current = current.map(|own| own.started_ms);
+        // Of a server that was never heard and doesn't say when it started, it is known that it has by now.
+        let started_ms = started_ms.or(current).or(self.server.unix_time(now));
+        let Some(started_ms) = started_ms else {
             return;
         };
+        let incarnation = ServerIncarnation { id, started_ms };
+        self.server.forget_proof(&incarnation);
         self.record_departure(now, incarnation.clone(), DepartureState::Left);
         if !self.unacknowledged.contains(&incarnation) {
             self.unacknowledged.push(incarnation);
@@ -116,6 +112,7 @@
         incarnation: ServerIncarnation,
         state: DepartureState,
     ) {
+        self.server.record_start(&incarnation);
         let node = self.own_name().clone();
         let departure = ServerDeparture {
             node,
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -143,6 +143,7 @@
             Event::Tick => self.tick(now, &mut actions),
             Event::Message(from, message) => self.handle_message(now, from, message, &mut actions),
             Event::Server(event) => self.handle_server_event(now, event, &mut actions),
+            Event::HostClock(unix_ms) => self.server.record_clock(now, unix_ms),
             Event::LeaderRead(begun, read) => {
                 self.handle_leader_read(now, begun, read, &mut actions)
             }
--- a/crates/mesh/src/ownership/server_grants/mod.rs
+++ b/crates/mesh/src/ownership/server_grants/mod.rs
@@ -2,6 +2,7 @@
 
 mod call_grants;
 mod heartbeat_answer;
+mod incarnation_order;
 mod key_call;
 mod key_call_outcome;
 mod key_request;
--- a/crates/mesh/src/ownership/server_grants/server_tracker.rs
+++ b/crates/mesh/src/ownership/server_grants/server_tracker.rs
@@ -7,13 +7,13 @@
 use super::CallGrants;
 use super::HeartbeatAnswer;
 use super::Lease;
+use super::incarnation_order::IncarnationOrder;
 use crate::model::Granting;
 use crate::model::HeldRange;
 use crate::model::KeyRange;
 use crate::model::ReleasedRange;
 use crate::model::Renewal;
 use crate::model::ServerHeartbeat;
-use crate::model::ServerId;
 use crate::model::ServerIncarnation;
 use crate::ownership::LeaseTimes;
 
@@ -28,21 +28,14 @@
 /// How long a release is reported to the leader, and recognised when the server repeats it. A server
 /// repeats a release in a few heartbeats at most, and node heartbeats to the leader can be lost.
 const RELEASE_RETENTION: Duration = Duration::from_secs(10);
-/// How many incarnations that leave are remembered, to ignore their late heartbeats.
-const MAX_DEPARTED: usize = 8;
-/// How long heartbeats are ignored from a server that left before any of its heartbeats arrived. One sent
-/// before it left may arrive seconds late, and looks like one of a next incarnation with the same id.
-const DEPARTURE_RETENTION: Duration = Duration::from_secs(10);
-/// How long an incarnation must be silent until one with an earlier start time is accepted as its
-/// successor. The host's clock may have been set back between the two starts.
-const SUCCESSOR_SILENCE: Duration = Duration::from_millis(2_500);
+/// How many incarnations are remembered that said in a response that they are leaving.
+const MAX_DRAINING: usize = 8;
 
 /// Tracks the incarnations of the host's backend server, what it was granted, and what it still holds.
 #[derive(Clone, Debug, Default)]
 pub(in crate::ownership) struct ServerTracker {
     pub(super) current: Option<CurrentServer>,
-    /// Servers that left without saying which incarnation, and of which this process had received no heartbeat.
-    departed_unseen: Vec<(ServerId, Moment)>,
+    order: IncarnationOrder,
     /// Incarnations that said in a response that they are leaving. Their heartbeats may not say so, or may
     /// be late.
     draining: Vec<ServerIncarnation>,
@@ -84,8 +77,7 @@
         lease: Option<&Lease>,
         times: &LeaseTimes,
     ) -> HeartbeatAnswer {
-        let departed = self.has_departed_unseen(now, &heartbeat.incarnation.id);
-        if departed || self.is_stale(now, &heartbeat) {
+        if self.is_stale(now, &heartbeat) {
             return HeartbeatAnswer::Acknowledged;
         }
         match granting {
@@ -106,15 +98,33 @@
         }
     }
 
-    /// Records that a server leaves of which only the id is known.
-    pub(in crate::ownership) fn record_unseen_departure(&mut self, now: Moment, id: ServerId) {
-        push_bounded(&mut self.departed_unseen, (id, now));
+    /// Records a reading of the host's time of day.
+    pub(in crate::ownership) fn record_clock(&mut self, now: Moment, unix_ms: u64) {
+        self.order.record_clock(now, unix_ms);
+    }
+
+    /// Returns the time of day in Unix milliseconds, if it was ever read.
+    pub(in crate::ownership) fn unix_time(&self, now: Moment) -> Option<u64> {
+        self.order.unix_time(now)
+    }
+
+    /// Records that an incarnation has started, of which a heartbeat may not have come.
+    pub(in crate::ownership) fn record_start(&mut self, incarnation: &ServerIncarnation) {
+        self.order.record_start(incarnation);
+    }
+
+    /// Forgets that an incarnation has succeeded one with a later start time, as it has left too.
+    pub(in crate::ownership) fn forget_proof(&mut self, incarnation: &ServerIncarnation) {
+        self.order.forget_proof(incarnation);
     }
 
     /// Records that an incarnation of the server said in a response that it is leaving.
     pub(in crate::ownership) fn record_draining(&mut self, incarnation: ServerIncarnation) {
         if !self.draining.contains(&incarnation) {
-            push_bounded(&mut self.draining, incarnation);
+            if self.draining.len() == MAX_DRAINING {
+                self.draining.remove(0);
+            }
+            self.draining.push(incarnation);
         }
     }
 
@@ -124,11 +134,6 @@
         newest.is_some_and(|newest| newest.draining || self.draining.contains(&newest.incarnation))
     }
 
-    fn has_departed_unseen(&self, now: Moment, id: &ServerId) -> bool {
-        let mut unseen = self.departed_unseen.iter();
-        unseen.any(|(departed, at)| departed == id && now.since(*at) < DEPARTURE_RETENTION)
-    }
-
     /// Returns the incarnation that sent the newest heartbeat.
     pub(in crate::ownership) fn incarnation(&self) -> Option<&ServerIncarnation> {
         self.current
@@ -225,19 +230,17 @@
         recent.map(|(_, released)| released.clone()).collect()
     }
 
-    fn is_stale(&self, now: Moment, heartbeat: &ServerHeartbeat) -> bool {
-        let Some(current) = &self.current else {
-            return false;
-        };
-        let newest = &current.newest;
-        if newest.incarnation == heartbeat.incarnation {
-            return heartbeat.sequence <= newest.sequence;
+    fn is_stale(&mut self, now: Moment, heartbeat: &ServerHeartbeat) -> bool {
+        if let Some(current) = &self.current
+            && current.newest.incarnation == heartbeat.incarnation
+        {
+            return heartbeat.sequence <= current.newest.sequence;
         }
-        heartbeat.incarnation.started_ms < newest.incarnation.started_ms
-            && now.since(current.heartbeat_at) < SUCCESSOR_SILENCE
+        self.order.is_earlier(now, heartbeat, self.heartbeat_at())
     }
 
     fn record_heartbeat(&mut self, now: Moment, heartbeat: ServerHeartbeat, times: &LeaseTimes) {
+        self.order.record_start(&heartbeat.incarnation);
         let current = match &mut self.current {
             Some(current) if current.newest.incarnation == heartbeat.incarnation => current,
             // A new incarnation holds nothing that an earlier one was granted.
@@ -340,10 +343,3 @@
         self.grants.iter().filter(move |grant| now < grant.until)
     }
 }
-
-fn push_bounded<T>(kept: &mut Vec<T>, item: T) {
-    if kept.len() == MAX_DEPARTED {
-        kept.remove(0);
-    }
-    kept.push(item);
-}
--- a/crates/mesh/tests/lone_node/mod.rs
+++ b/crates/mesh/tests/lone_node/mod.rs
@@ -44,10 +44,15 @@
 
 /// Returns a heartbeat of the node's backend server.
 pub fn heartbeat(sequence: u64) -> Event {
+    heartbeat_of(1, sequence)
+}
+
+/// Returns a heartbeat of the incarnation that started at this time.
+pub fn heartbeat_of(started_ms: u64, sequence: u64) -> Event {
     Event::Server(ServerEvent::Heartbeat(ServerHeartbeat {
         incarnation: ServerIncarnation {
             id: "server-1".parse().unwrap(),
-            started_ms: 1,
+            started_ms,
         },
         service: "service".parse().unwrap(),
         address: "127.0.0.1:8301".parse().unwrap(),
--- a/crates/rack/src/clock/mod.rs
+++ b/crates/rack/src/clock/mod.rs
@@ -1,4 +1,7 @@
-//! The host's clock.
+//! The host's clocks.
+
+use std::time::Duration;
+use std::time::SystemTime;
 
 use quetzalrack_core::time::Moment;
 use rustix::time::ClockId;
@@ -12,3 +15,9 @@
     let nanoseconds = u64::try_from(read.tv_nsec).unwrap_or_default();
     Moment(seconds * 1_000_000_000 + nanoseconds)
 }
+
+/// Reads the time of day, as the time since the start of 1970. It can be set at any moment.
+pub fn time_of_day() -> Duration {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default()
+}
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -129,6 +129,7 @@
             unreachable_reported: false,
             leaving_reported: None,
             heartbeat: host.heartbeat,
+            clock_offset: None,
             leaving_answers: Vec::new(),
         };
         runner.open_connections(host.server);
--- a/crates/rack/src/control/control_runner.rs
+++ b/crates/rack/src/control/control_runner.rs
@@ -39,6 +39,11 @@
 /// connections counts as unreachable; a restarted server sends a heartbeat before that.
 const UNREACHABLE_HEARTBEATS: f64 = 1.6;
 
+/// Difference between two readings of the clocks from which on the time of day counts as set.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
+/// Time that reading both clocks may take; a thread that was suspended in between reads them again later.
+const MAX_CLOCK_READ: Duration = Duration::from_millis(5);
+
 /// Runs the control machine and executes its actions.
 pub(super) struct ControlRunner {
     pub(super) machine: NodeMachine,
@@ -57,6 +62,8 @@
     /// The incarnation of the server that was last reported as leaving.
     pub(super) leaving_reported: Option<ServerIncarnation>,
     pub(super) heartbeat: Duration,
+    /// The time of day less the time since the host's start, as the machine was last told.
+    pub(super) clock_offset: Option<Duration>,
     /// Calls of servers that leave, which are not answered yet.
     pub(super) leaving_answers: Vec<(ServerId, oneshot::Sender<HeartbeatAnswer>)>,
 }
@@ -105,6 +112,7 @@
 
     fn handle_call(&mut self, event: ServerEvent, answer: oneshot::Sender<HeartbeatAnswer>) {
         self.unreachable_reported = false;
+        self.read_clock();
         let answer = match &event {
             ServerEvent::Leaving { id, started_ms } => {
                 let started_ms = started_ms.unwrap_or_default();
@@ -120,6 +128,23 @@
         }
     }
 
+    /// Tells the machine the time of day if it was set.
+    fn read_clock(&mut self) {
+        let (now, time_of_day) = (clock::now(), clock::time_of_day());
+        if clock::now().since(now) >= MAX_CLOCK_READ {
+            return;
+        }
+        let offset = time_of_day.saturating_sub(Duration::from_nanos(now.0));
+        let is_unchanged = self
+            .clock_offset
+            .is_some_and(|known| known.abs_diff(offset) < CLOCK_TOLERANCE);
+        if !is_unchanged {
+            self.clock_offset = Some(offset);
+            let unix_ms = u64::try_from(time_of_day.as_millis()).unwrap_or(u64::MAX);
+            self.step(Event::HostClock(unix_ms), None);
+        }
+    }
+
     /// Keeps the answer to a server that leaves until another process knows of it.
     fn keep_leaving_answer(&mut self, id: ServerId, answer: oneshot::Sender<HeartbeatAnswer>) {
         self.leaving_answers
@@ -146,6 +171,7 @@
     }
 
     fn tick(&mut self) {
+        self.read_clock();
         let report = self.board.report();
         self.step(Event::Load(report.load, report.key_loads.clone()), None);
         if report.server_gone && !self.unreachable_reported && self.server_is_silent() {
