mesh: the leader's record in the store keeps departures

All processes had been killed 0.5 s after the acknowledgement, and a heartbeat from before it arrived 2.5 s late.

Cause: a departure was acknowledged as soon as a second process had it in memory. When all that knew ended, the next ones took the late heartbeat for that of a server that is ready. `draining` in a heartbeat was the same, and was acknowledged at once: killing the process beside the server and the leader sufficed.

Fix: the node reports the departure to the leader as before. The leader writes it to its own record, which it appends under the condition that the topic ends where it knows it to end, and tells the node once it is appended; only then is the call, or the heartbeat that says `draining`, answered. The claim of the next leader is conditional on the same end, so whoever leads has read every departure that was ever acknowledged. A process routes nothing before its leader's first reply, which brings the departure of its server: a start waits for nothing new and reads nothing more. One append for all that leave within 0.2 s. Nodes no longer keep each other's departures: a departure costs one message to the leader and 37 bytes in the record for a minute, in place of 37 bytes to every node.

unknown_document::earlier_version now checks both earlier forms of the messages; earlier_record is new.

--- a/crates/mesh/src/ownership/action.rs
+++ b/crates/mesh/src/ownership/action.rs
@@ -8,7 +8,6 @@
 use super::LeaderRecord;
 use super::LogEntry;
 use super::PeerMessage;
-use crate::model::ServerId;
 
 /// One output of [`super::NodeMachine`].
 #[derive(Clone, Debug, PartialEq)]
@@ -26,8 +25,10 @@
     },
     /// Answer the backend server's heartbeat.
     AnswerHeartbeat(HeartbeatAnswer),
-    /// Acknowledge that the backend server leaves: another process knows of it too.
-    AcknowledgeLeaving(ServerId),
+    /// Keep this answer to the backend server's call until its departure is acknowledged.
+    DelayAnswer(HeartbeatAnswer),
+    /// Acknowledge the backend server's departure, with all answers that were delayed for it.
+    AcknowledgeDeparture,
     /// Call the backend server; the outcome is reported as an event.
     CallServer(KeyCall),
     /// Publish the directory and the lease, since one of them may have changed.
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -10,6 +10,7 @@
 use quetzalrack_core::time::Moment;
 
 use super::authority::Authority;
+use super::departure_table::DepartureTable;
 use super::key_placement::PlacementState;
 use super::peer::Peer;
 use super::publishing::PublishedTables;
@@ -28,7 +29,6 @@
 use crate::ownership::NodeHeartbeat;
 use crate::ownership::NodeIncarnation;
 use crate::ownership::PeerMessage;
-use crate::ownership::departure_log::DepartureLog;
 
 /// How long a leader that took over by handoff may take to be confirmed: three heartbeats of its
 /// nodes.
@@ -52,13 +52,14 @@
     pub(super) placements: BTreeMap<ServiceName, PlacementState>,
     pub(super) last_fence: FencingToken,
     pub(super) tables: PublishedTables,
+    pub(super) departures: DepartureTable,
     pub(super) intent: OperatorsIntent,
     /// The time up to which `intent` contains everything that was acknowledged.
     pub(super) intent_confirmed: Moment,
     /// When the leadership was handed over to this leader; none once it has authority of its own.
     pub(super) starting_since: Option<Moment>,
-    /// Nodes whose servers were granted keys and that are still to be asked for a heartbeat, whose
-    /// reply delivers the grant.
+    /// Nodes that are still to be asked for a heartbeat, whose reply delivers a grant or tells that the
+    /// departure of their server is stored.
     pub(super) heartbeat_requests: BTreeSet<NodeName>,
     /// Decisions to log: the event, and the inputs that decided it.
     pub(super) log_entries: Vec<(&'static str, String)>,
@@ -114,6 +115,7 @@
             takeover: None,
             record_sync: RecordSync::new(now, 0),
             last_fence: FencingToken::first_of(record.epoch.0),
+            departures: DepartureTable::from_record(now, &record),
             record,
             peers,
             range_maps: BTreeMap::new(),
@@ -159,7 +161,6 @@
         now: Moment,
         from: SocketAddr,
         heartbeat: &NodeHeartbeat,
-        departures: &DepartureLog,
         actions: &mut Vec<Action>,
     ) {
         let node = heartbeat.member.incarnation.node.clone();
@@ -171,6 +172,9 @@
             return;
         }
         let current = self.apply_heartbeat(now, &node, heartbeat);
+        if self.has_unstored_departures() {
+            self.sync_record(now, actions);
+        }
         // The reply delivers the grants of this node.
         self.heartbeat_requests.remove(&node);
         self.request_heartbeats(actions);
@@ -186,7 +190,6 @@
         if assignment.is_some() {
             self.extend_leases(now, &node);
         }
-        let (lacking, departures_index) = departures.since(heartbeat.departures_index);
         let reply = LeaderReply {
             epoch: self.record.epoch,
             leader: self.own_incarnation.clone(),
@@ -196,14 +199,18 @@
             lease: milliseconds(lease),
             early_heartbeat: !current
                 || self.expects_keys(&node)
-                || (departures.has_unwitnessed() && !self.is_alone()),
+                || self.has_unstored_departure(&node),
             assignment,
             update: self.update_for(heartbeat),
             intent_offset: self.intent.offset,
             // Rounded up, so that no node takes the intent for more recent than it is.
             intent_age: milliseconds(now.since(self.intent_confirmed)).saturating_add(1),
-            departures: lacking,
-            departures_index,
+            departures: self
+                .record
+                .departure_of(&node)
+                .cloned()
+                .into_iter()
+                .collect(),
         };
         if heartbeat.intent_offset > self.intent.offset {
             actions.push(Action::FetchIntent(heartbeat.member.traffic));
@@ -221,6 +228,7 @@
         }
         self.update_authority(now);
         if current {
+            self.record_departures(now, heartbeat);
             self.update_ranges(now, node, heartbeat);
             self.replace_stale_grants(node, heartbeat);
             self.account_for_grants(now);
--- a/crates/mesh/src/ownership/leader/mod.rs
+++ b/crates/mesh/src/ownership/leader/mod.rs
@@ -3,6 +3,7 @@
 mod assignments;
 mod authority;
 mod candidates;
+mod departure_table;
 mod handoff;
 mod key_placement;
 mod leader_machine;
--- a/crates/mesh/src/ownership/leader/record_sync.rs
+++ b/crates/mesh/src/ownership/leader/record_sync.rs
@@ -21,6 +21,8 @@
 const VOTER_TIMEOUT: Duration = Duration::from_secs(5);
 /// The same for a node that announced its leaving and no longer has a backend server.
 const LEFT_VOTER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The shortest time between two writes for departures: however many servers leave at once, the writes are few.
+const DEPARTURES_PAUSE: Duration = Duration::from_millis(200);
 /// The longest wait for a call to the store; the client gives up earlier.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -30,6 +32,8 @@
     /// Where the topic ends, as far as known.
     topic_end: u64,
     last_write: Moment,
+    /// When a record was last written to store departures.
+    departures_written: Moment,
     /// The record of a write whose outcome is unknown.
     pending: Option<LeaderRecord>,
     /// When the outstanding read was sent.
@@ -52,6 +56,7 @@
         Self {
             topic_end,
             last_write: now,
+            departures_written: Moment::default(),
             pending: None,
             read_sent: None,
             write_sent: None,
@@ -130,6 +135,7 @@
             true => !self.authority.can_require_majority(now, &self.times),
             false => !self.authority.has_majority(now, &self.times),
         };
+        let has_departures = self.has_unstored_departures();
         let sync = &mut self.record_sync;
         let open = |sent: Moment| now.since(sent) < STORE_CALL_TIMEOUT;
         if sync.read_sent.is_some_and(open) || sync.write_sent.is_some_and(|(sent, _)| open(sent)) {
@@ -147,25 +153,40 @@
         let due = (changed && stable)
             || urgent
             || now.since(sync.last_write) >= self.times.refresh_interval;
+        let is_complete = self.takeover.is_none();
+        let due = is_complete && due;
+        let departures_due =
+            has_departures && now.since(sync.departures_written) >= DEPARTURES_PAUSE;
         if let Some(record) = sync.pending.clone().filter(|_| sync.needs_resend) {
             // Both attempts require the same end of the topic, so at most one takes effect.
             sync.needs_resend = false;
             let topic_end = sync.topic_end;
             sync.write_sent = Some((now, topic_end));
             actions.push(Action::WriteLeader { topic_end, record });
-        } else if sync.pending.is_none() && self.takeover.is_none() && due {
-            let record = LeaderRecord {
-                voters: match stable {
-                    true => sync.wanted_voters.clone(),
-                    false => self.record.voters.clone(),
+        } else if sync.pending.is_none() && (due || departures_due) {
+            // Until all keys are accounted for, the next leader needs the voters as they were.
+            let record = match is_complete {
+                true => LeaderRecord {
+                    voters: match stable {
+                        true => sync.wanted_voters.clone(),
+                        false => self.record.voters.clone(),
+                    },
+                    takeover_complete: true,
+                    store_suffices,
+                    ..self.record.clone()
                 },
-                takeover_complete: true,
-                store_suffices,
-                ..self.record.clone()
+                false => self.record.clone(),
+            };
+            let record = LeaderRecord {
+                departures: self.departures.retained(now),
+                ..record
             };
             let topic_end = sync.topic_end;
             sync.write_sent = Some((now, topic_end));
             sync.last_write = now;
+            if departures_due {
+                sync.departures_written = now;
+            }
             sync.pending = Some(record.clone());
             actions.push(Action::WriteLeader { topic_end, record });
         } else if now.since(sync.last_read) >= self.times.verify_interval {
@@ -217,7 +238,7 @@
                 }
                 self.record_sync.maybe_written = false;
                 if let Some(record) = self.record_sync.pending.take() {
-                    self.record = record;
+                    self.adopt_stored(record);
                 }
             }
             AppendOutcome::Refused if self.record_sync.maybe_written => {
@@ -249,7 +270,7 @@
                 // where the write requires. Once the topic is longer, this record is the outcome.
                 if topic_end > self.record_sync.topic_end {
                     self.record_sync.topic_end = topic_end;
-                    self.record = record;
+                    self.adopt_stored(record);
                     self.record_sync.pending = None;
                     self.record_sync.maybe_written = false;
                 }
--- a/crates/mesh/src/ownership/leader/unsolicited.rs
+++ b/crates/mesh/src/ownership/leader/unsolicited.rs
@@ -8,34 +8,10 @@
 use crate::ownership::Action;
 use crate::ownership::PeerMessage;
 
-/// How many nodes are asked at once to confirm a departure; one suffices.
-const MAX_WITNESSES: usize = 3;
-
 impl Leader {
-    /// Tells whether the leader knows no other node.
-    pub(in crate::ownership) fn is_alone(&self) -> bool {
-        let mut nodes = self.peers.keys();
-        nodes.all(|node| *node == self.own_incarnation.node)
-    }
-
-    /// Asks a few nodes for a heartbeat at once, since the replies tell them of a departure that this
-    /// process alone knows.
-    pub(in crate::ownership) fn request_witnesses(
-        &mut self,
-        now: Moment,
-        actions: &mut Vec<Action>,
-    ) {
-        let others = self
-            .responsive_members(now)
-            .filter(|member| member.incarnation != self.own_incarnation);
-        let witnesses = others.map(|member| member.incarnation.node.clone());
-        let witnesses: Vec<_> = witnesses.take(MAX_WITNESSES).collect();
-        self.heartbeat_requests.extend(witnesses);
-        self.request_heartbeats(actions);
-    }
-
-    /// Asks the nodes whose servers were granted keys for a heartbeat at once.
-    pub(super) fn request_heartbeats(&mut self, actions: &mut Vec<Action>) {
+    /// Asks the nodes whose servers were granted keys, or whose servers' departures were stored, for a
+    /// heartbeat at once.
+    pub(in crate::ownership) fn request_heartbeats(&mut self, actions: &mut Vec<Action>) {
         let epoch = self.record.epoch;
         for node in std::mem::take(&mut self.heartbeat_requests) {
             if let Some(peer) = self.peers.get(&node) {
@@ -65,7 +41,7 @@
             .filter(|voter| !self.peers.contains_key(&voter.node));
         addresses.extend(unknown.map(|voter| voter.control));
         for address in addresses {
-            let record = Box::new(self.record.clone());
+            let record = Box::new(self.record.announcement());
             actions.push(Action::Send(
                 address,
                 PeerMessage::LeaderAnnouncement(record),
--- a/crates/mesh/src/ownership/message/leader_reply.rs
+++ b/crates/mesh/src/ownership/message/leader_reply.rs
@@ -37,8 +37,7 @@
     /// How long, in milliseconds, the node's lease lasts, counted from when the node sent the heartbeat.
     pub lease: u32,
     /// Whether the node is to send its next heartbeat early: keys are about to be granted to its backend
-    /// server, and have no owner until it learns of the grant, or the leader waits for a node that confirms
-    /// the departure of the leader's own server.
+    /// server, and have no owner until it learns of the grant, or its server's departure is about to be stored.
     pub early_heartbeat: bool,
     /// What the node's backend server is to hold; none until the leader knows what it holds now.
     pub assignment: Option<Assignment>,
@@ -48,8 +47,7 @@
     pub intent_offset: u64,
     /// How many milliseconds ago the leader last knew every acknowledged change of the intent.
     pub intent_age: u32,
-    /// Departures of servers that the node lacks.
+    /// The departure of the node's server that the leader's record in the store has, if any. Processes of an
+    /// earlier version send those of all nodes.
     pub departures: Vec<ServerDeparture>,
-    /// The leader's index up to which these reach.
-    pub departures_index: u64,
 }
--- a/crates/mesh/src/ownership/message/node_heartbeat.rs
+++ b/crates/mesh/src/ownership/message/node_heartbeat.rs
@@ -86,8 +86,7 @@
     pub owners_version: u64,
     /// The offset up to which the node has read the operators' intent.
     pub intent_offset: u64,
-    /// Departures of servers that the leader may lack.
+    /// The departure of the node's server, until the leader's record in the store has it. Processes of an
+    /// earlier version send those of all nodes.
     pub departures: Vec<ServerDeparture>,
-    /// The leader's index up to which the node has the leader's departures.
-    pub departures_index: u64,
 }
--- a/crates/mesh/src/ownership/message/peer_message.rs
+++ b/crates/mesh/src/ownership/message/peer_message.rs
@@ -12,8 +12,8 @@
 use super::NodeHeartbeat;
 use super::NodeIncarnation;
 
-/// An empty list of departures and index 0, as they are encoded.
-const NO_DEPARTURES: [u8; 2] = [0; 2];
+/// An empty list of departures, as it is encoded.
+const NO_DEPARTURES: [u8; 1] = [0];
 
 /// One datagram between nodes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,8 +72,8 @@
         postcard::to_allocvec(self)
     }
 
-    /// Decodes a datagram. A process of an earlier version sends heartbeats and replies without the fields
-    /// for departures at their ends, and ignores them.
+    /// Decodes a datagram. A process of an earlier version sends heartbeats, replies and announcements without
+    /// departures at their ends, or with more fields behind them that say nothing here.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         match postcard::from_bytes(bytes) {
             Err(postcard::Error::DeserializeUnexpectedEnd) => {
--- a/crates/mesh/src/ownership/mod.rs
+++ b/crates/mesh/src/ownership/mod.rs
@@ -5,7 +5,6 @@
 //! names the checks that enforce each rule.
 
 mod action;
-mod departure_log;
 mod directory;
 mod election;
 mod event;
--- a/crates/mesh/src/ownership/node_machine/departures.rs
+++ b/crates/mesh/src/ownership/node_machine/departures.rs
@@ -1,50 +1,87 @@
-//! Departures of the node's own backend server, and of those that other nodes tell of.
+//! The departure of the node's own backend server.
 
 use quetzalrack_core::time::Moment;
 
 use super::NodeMachine;
+use super::log_entry::log_event;
 use crate::model::ServerHeartbeat;
 use crate::model::ServerId;
 use crate::model::ServerIncarnation;
 use crate::ownership::Action;
 use crate::ownership::DepartureState;
-use crate::ownership::LeaderReply;
-use crate::ownership::NodeHeartbeat;
+use crate::ownership::HeartbeatAnswer;
 use crate::ownership::ServerDeparture;
 
+/// What a process knows of the departure of its server.
+///
+/// It binds every later process of the node too, so it is acknowledged once the store has it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OwnDeparture {
+    newest: Option<ServerDeparture>,
+    /// Whether the leader's record in the store has it.
+    stored: bool,
+    /// Whether the server waits for its acknowledgement.
+    is_awaited: bool,
+}
+
+impl OwnDeparture {
+    /// Records a departure and returns whether it is new.
+    fn record(&mut self, departure: ServerDeparture) -> bool {
+        let known = self.newest.as_ref();
+        if known.is_some_and(|known| known.covers(&departure)) {
+            return false;
+        }
+        self.newest = Some(departure);
+        self.stored = false;
+        true
+    }
+
+    /// Returns what the leader is still to write to the store.
+    pub(super) fn unstored(&self) -> Option<&ServerDeparture> {
+        self.newest.as_ref().filter(|_| !self.stored)
+    }
+}
+
 impl NodeMachine {
     /// Tells whether the incarnation that sent the newest heartbeat has left.
     pub(super) fn has_server_left(&self) -> bool {
-        let incarnation = self.server.incarnation();
-        incarnation
-            .and_then(|incarnation| self.departures.state(self.own_name(), incarnation))
-            .is_some_and(|state| state == DepartureState::Left)
+        let Some((departure, incarnation)) = self
+            .departure
+            .newest
+            .as_ref()
+            .zip(self.server.incarnation())
+        else {
+            return false;
+        };
+        match departure.incarnation == *incarnation {
+            true => departure.state == DepartureState::Left,
+            false => {
+                departure.is_after(incarnation, 0) && !self.server.is_proven_successor(incarnation)
+            }
+        }
     }
 
     /// Tells whether the server sent a heartbeat before it announced that it leaves.
     pub(super) fn is_before_departure(&self, heartbeat: &ServerHeartbeat) -> bool {
-        self.departures
-            .state(self.own_name(), &heartbeat.incarnation)
-            .is_some_and(|state| state.is_later_than(heartbeat.sequence))
+        let departure = self.departure.newest.as_ref();
+        departure.is_some_and(|departure| {
+            departure.incarnation == heartbeat.incarnation
+                && departure.state.is_later_than(heartbeat.sequence)
+        })
     }
 
     /// Records a heartbeat that is the first to say that its server is draining.
     pub(super) fn record_draining_heartbeat(&mut self, now: Moment, heartbeat: &ServerHeartbeat) {
-        let newest = self.server.newest();
-        let newest = newest.filter(|newest| newest.incarnation == heartbeat.incarnation);
-        let is_known = newest.is_some_and(|newest| newest.draining)
-            && self
-                .departures
-                .state(self.own_name(), &heartbeat.incarnation)
-                .is_some();
-        if heartbeat.draining && !is_known {
+        let is_known = |departure: &ServerDeparture| {
+            departure.incarnation == heartbeat.incarnation && self.is_server_draining()
+        };
+        if heartbeat.draining && !self.departure.newest.as_ref().is_some_and(is_known) {
             let state = DepartureState::Draining(heartbeat.sequence);
             self.record_departure(now, heartbeat.incarnation.clone(), state);
         }
     }
 
-    /// Records that the server leaves. The acknowledgement waits until another process knows of it, since
-    /// it binds the next process of this node too.
+    /// Records that the server leaves.
     pub(super) fn record_leaving(
         &mut self,
         now: Moment,
@@ -61,49 +98,60 @@
         };
         let incarnation = ServerIncarnation { id, started_ms };
         self.server.forget_proof(&incarnation);
-        self.record_departure(now, incarnation.clone(), DepartureState::Left);
-        if !self.unacknowledged.contains(&incarnation) {
-            self.unacknowledged.push(incarnation);
-        }
-        if let Some(leader) = &mut self.leader {
-            leader.request_witnesses(now, actions);
-        }
+        self.record_departure(now, incarnation, DepartureState::Left);
         self.drop_unused_lease();
+        self.departure.is_awaited = true;
+        actions.push(Action::DelayAnswer(HeartbeatAnswer::Acknowledged));
     }
 
-    /// Acknowledges the departures that another process knows of, or that no other node could know of.
-    pub(super) fn acknowledge_departures(&mut self, actions: &mut Vec<Action>) {
-        let is_alone = self.leader.as_ref().is_some_and(|leader| leader.is_alone());
-        let own = &self.profile.incarnation.node;
-        let departures = &self.departures;
-        let known = self.unacknowledged.extract_if(.., |incarnation| {
-            is_alone || departures.is_witnessed(own, incarnation)
-        });
-        actions.extend(known.map(|incarnation| Action::AcknowledgeLeaving(incarnation.id)));
-    }
-
-    /// Records the departures in a heartbeat to this leader.
-    pub(super) fn record_reported_departures(&mut self, now: Moment, heartbeat: &NodeHeartbeat) {
-        // A leader's own heartbeats to itself add no witness.
-        if heartbeat.member.incarnation.node != *self.own_name() {
-            self.departures.record_told(now, &heartbeat.departures);
-            self.departures.record_witness(heartbeat.departures_index);
+    /// Answers a heartbeat, which acknowledges what it says. If it says that the server is draining, the answer
+    /// waits until the store has that.
+    pub(super) fn answer_heartbeat(
+        &mut self,
+        draining: bool,
+        answer: HeartbeatAnswer,
+        actions: &mut Vec<Action>,
+    ) {
+        if draining && self.departure.unstored().is_some() {
+            self.departure.is_awaited = true;
+            actions.push(Action::DelayAnswer(answer));
+        } else {
+            actions.push(Action::AnswerHeartbeat(answer));
         }
     }
 
-    /// Records the departures in a reply of the leader.
-    pub(super) fn record_departures_told(&mut self, now: Moment, reply: &LeaderReply) {
-        let is_other = reply.leader.node != *self.own_name();
-        if is_other && self.departures.record_told(now, &reply.departures) {
+    /// Records the departures that the leader's record in the store has.
+    pub(super) fn record_stored_departures(
+        &mut self,
+        now: Moment,
+        stored: &[ServerDeparture],
+        actions: &mut Vec<Action>,
+    ) {
+        let own = stored.iter().find(|stored| stored.node == *self.own_name());
+        let Some(stored) = own else {
+            return;
+        };
+        if self.departure.record(stored.clone()) {
+            self.server.record_start(&stored.incarnation);
             self.drop_unused_lease();
             self.heartbeat_due = now;
         }
-        self.departures.record_reply(
-            reply.sequence,
-            &reply.departures,
-            reply.departures_index,
-            is_other,
-        );
+        let newest = self.departure.newest.as_ref();
+        if self.departure.stored || !newest.is_some_and(|newest| stored.covers(newest)) {
+            return;
+        }
+        self.departure.stored = true;
+        let detail = format!("{} {:?}", stored.incarnation, stored.state);
+        let epoch = self.epoch().unwrap_or_default();
+        log_event(actions, "departure_stored", epoch, detail);
+    }
+
+    /// Acknowledges the departure that the server waits for, once the store has it.
+    pub(super) fn acknowledge_departure(&mut self, actions: &mut Vec<Action>) {
+        if self.departure.is_awaited && self.departure.unstored().is_none() {
+            self.departure.is_awaited = false;
+            actions.push(Action::AcknowledgeDeparture);
+        }
     }
 
     fn record_departure(
@@ -113,13 +161,12 @@
         state: DepartureState,
     ) {
         self.server.record_start(&incarnation);
-        let node = self.own_name().clone();
         let departure = ServerDeparture {
-            node,
+            node: self.own_name().clone(),
             incarnation,
             state,
         };
-        if self.departures.record_own(now, departure) {
+        if self.departure.record(departure) {
             self.heartbeat_due = now;
         }
     }
--- a/crates/mesh/src/ownership/node_machine/leader_change.rs
+++ b/crates/mesh/src/ownership/node_machine/leader_change.rs
@@ -96,6 +96,10 @@
             .as_ref()
             .map(|previous| previous.voters.clone())
             .unwrap_or_default();
+        let departures = previous
+            .as_ref()
+            .map(|previous| previous.departures.clone())
+            .unwrap_or_default();
         let record = LeaderRecord {
             epoch,
             leader: self.profile.incarnation.clone(),
@@ -103,6 +107,7 @@
             voters,
             takeover_complete: false,
             store_suffices: true,
+            departures,
         };
         log_event(
             actions,
@@ -130,6 +135,7 @@
     ) {
         if let Some(leader) = &mut self.leader {
             leader.handle_write(outcome);
+            leader.request_heartbeats(actions);
             return;
         }
         match outcome {
@@ -173,7 +179,7 @@
         for (node, entry) in &self.directory.members {
             if *node != self.profile.incarnation.node {
                 let announcement =
-                    PeerMessage::LeaderAnnouncement(Box::new(leader.record().clone()));
+                    PeerMessage::LeaderAnnouncement(Box::new(leader.record().announcement()));
                 actions.push(Action::Send(entry.member.control, announcement));
             }
         }
@@ -191,6 +197,7 @@
         }
         if let Some(leader) = &mut self.leader {
             leader.handle_read(begun, read);
+            leader.request_heartbeats(actions);
             return;
         }
         let LeaderRead::Newest(record, end) = read else {
@@ -201,6 +208,7 @@
         let Some(record) = record else {
             return;
         };
+        self.record_stored_departures(now, &record.departures, actions);
         if let Some(claim) = self
             .claim
             .take_if(|claim| claim.record.epoch <= record.epoch)
@@ -252,7 +260,6 @@
         // Later replies of the earlier leader are ignored; otherwise this node could confirm both leaders.
         self.outstanding.clear();
         self.directory.start_epoch(epoch);
-        self.departures.start_epoch();
         self.keep_held_ranges(now);
         // An earlier process of this node has ended.
         let leader = &record.leader;
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -27,7 +27,6 @@
 use crate::model::HeldRange;
 use crate::model::OperatorsIntent;
 use crate::model::ServerHeartbeat;
-use crate::model::ServerIncarnation;
 use crate::ownership::Action;
 use crate::ownership::Directory;
 use crate::ownership::Epoch;
@@ -37,12 +36,12 @@
 use crate::ownership::LeaseTimes;
 use crate::ownership::NodeLoad;
 use crate::ownership::ServerInfo;
-use crate::ownership::departure_log::DepartureLog;
 use crate::ownership::election::LeaderSearch;
 use crate::ownership::leader::Leader;
 use crate::ownership::leader::LeaderClaim;
 use crate::ownership::server_grants::Lease;
 use crate::ownership::server_grants::ServerTracker;
+use departures::OwnDeparture;
 use followed_leader::FollowedLeader;
 use intent_poller::IntentPoller;
 use intent_poller::LeaderContact;
@@ -57,9 +56,7 @@
     started: Moment,
     server: ServerTracker,
     server_lost: bool,
-    departures: DepartureLog,
-    /// Departures of the own server that wait for their acknowledgement.
-    unacknowledged: Vec<ServerIncarnation>,
+    departure: OwnDeparture,
     lease: Option<Lease>,
     followed: Option<FollowedLeader>,
     /// The newest epoch that this process has read in the store.
@@ -102,13 +99,12 @@
     pub fn new(now: Moment, profile: NodeProfile, times: LeaseTimes) -> Self {
         Self {
             random: ChaCha8Rng::seed_from_u64(profile.seed),
-            departures: DepartureLog::new(profile.incarnation.node.clone()),
             profile,
             times,
             started: now,
             server: ServerTracker::default(),
             server_lost: false,
-            unacknowledged: Vec::new(),
+            departure: OwnDeparture::default(),
             lease: None,
             followed: None,
             read_epoch: None,
@@ -175,7 +171,7 @@
             self.send_heartbeat(now, &mut actions);
         }
         let mut actions = self.deliver_to_self(now, actions);
-        self.acknowledge_departures(&mut actions);
+        self.acknowledge_departure(&mut actions);
         actions
     }
 
--- a/crates/mesh/src/ownership/node_machine/peer_messages.rs
+++ b/crates/mesh/src/ownership/node_machine/peer_messages.rs
@@ -96,12 +96,7 @@
             return;
         };
         leader.set_intent_confirmed(self.intent_poller.confirmed());
-        if leader.record().epoch == heartbeat.epoch {
-            self.record_reported_departures(now, heartbeat);
-        }
-        if let Some(leader) = &mut self.leader {
-            leader.handle_heartbeat(now, from, heartbeat, &self.departures, actions);
-        }
+        leader.handle_heartbeat(now, from, heartbeat, actions);
     }
 
     /// Returns the reply to a query whether the leader of an epoch responds to this node.
@@ -163,7 +158,7 @@
             self.heartbeat_due = self.heartbeat_due.min(now + EARLY_PAUSE);
         }
         self.directory.apply(&reply.update);
-        self.record_departures_told(now, reply);
+        self.record_stored_departures(now, &reply.departures, actions);
         if reply.intent_offset <= self.intent.offset {
             let age = Duration::from_millis(u64::from(reply.intent_age));
             self.intent_poller.confirm(sent.before(age));
@@ -251,8 +246,7 @@
             members_version: self.directory.members_version,
             owners_version: self.directory.owners_version,
             intent_offset: self.intent.offset,
-            departures: self.departures.report(self.sequence),
-            departures_index: self.departures.leader_index(),
+            departures: self.departure.unstored().cloned().into_iter().collect(),
         };
         self.reported = Some((server, holding));
         for kept in [&mut self.outstanding, &mut self.sent] {
--- a/crates/mesh/src/ownership/node_machine/server_events.rs
+++ b/crates/mesh/src/ownership/node_machine/server_events.rs
@@ -68,6 +68,7 @@
             return;
         }
         self.record_draining_heartbeat(now, &heartbeat);
+        let draining = heartbeat.draining;
         let granting = self.granting();
         let lease = usable_lease(now, &self.lease, &self.intent);
         let answer = self
@@ -76,7 +77,7 @@
         if self.server.incarnation() == Some(&incarnation) {
             self.server_lost = false;
         }
-        actions.push(Action::AnswerHeartbeat(answer));
+        self.answer_heartbeat(draining, answer, actions);
     }
 
     /// Tells whether the backend server is leaving, by its heartbeats or its responses.
--- a/crates/mesh/src/ownership/server_grants/incarnation_order.rs
+++ b/crates/mesh/src/ownership/server_grants/incarnation_order.rs
@@ -126,6 +126,11 @@
         false
     }
 
+    /// Tells whether an incarnation has succeeded one with a later start time.
+    pub(super) fn is_proven(&self, incarnation: &ServerIncarnation) -> bool {
+        self.proven.as_ref() == Some(incarnation)
+    }
+
     /// Forgets that an incarnation has succeeded one with a later start time, as it has left too.
     pub(super) fn forget_proof(&mut self, incarnation: &ServerIncarnation) {
         self.proven.take_if(|proven| proven == incarnation);
--- a/crates/mesh/src/ownership/server_grants/server_tracker.rs
+++ b/crates/mesh/src/ownership/server_grants/server_tracker.rs
@@ -113,6 +113,14 @@
         self.order.record_start(incarnation);
     }
 
+    /// Tells whether an incarnation has succeeded one with a later start time.
+    pub(in crate::ownership) fn is_proven_successor(
+        &self,
+        incarnation: &ServerIncarnation,
+    ) -> bool {
+        self.order.is_proven(incarnation)
+    }
+
     /// Forgets that an incarnation has succeeded one with a later start time, as it has left too.
     pub(in crate::ownership) fn forget_proof(&mut self, incarnation: &ServerIncarnation) {
         self.order.forget_proof(incarnation);
--- a/crates/mesh/tests/departures.rs
+++ b/crates/mesh/tests/departures.rs
@@ -8,6 +8,7 @@
 use ownership_support::DeparturePlan;
 use ownership_support::FaultKind;
 use ownership_support::Fleet;
+use ownership_support::Killed;
 use ownership_support::plan;
 use quetzalrack_mesh::model::Granting;
 use quetzalrack_mesh::model::ServerIncarnation;
@@ -66,7 +67,8 @@
 
 const FOLLOWER: DeparturePlan = DeparturePlan {
     beside_leader: false,
-    kill_leader: false,
+    killed: Killed::Beside,
+    drains: false,
     late: Duration::ZERO,
     kill_after: Duration::from_millis(500),
     settle: Duration::ZERO,
@@ -105,8 +107,34 @@
 #[test]
 fn leader_too() {
     check(DeparturePlan {
-        kill_leader: true,
+        killed: Killed::BesideAndLeader,
         settle: STABLE_WINDOW,
         ..FOLLOWER
     });
 }
+
+/// Guards against work for a server that has left, if all processes that know of it are killed.
+#[test]
+fn all_killed() {
+    for kill_after in [Duration::ZERO, Duration::from_millis(500)] {
+        check(DeparturePlan {
+            killed: Killed::All,
+            kill_after,
+            ..FOLLOWER
+        });
+    }
+}
+
+/// Guards against work for a server that drains, if the processes that know of it are killed and a heartbeat
+/// from before arrives.
+#[test]
+fn draining_killed() {
+    for killed in [Killed::Beside, Killed::BesideAndLeader, Killed::All] {
+        check(DeparturePlan {
+            killed,
+            drains: true,
+            kill_after: Duration::ZERO,
+            ..FOLLOWER
+        });
+    }
+}
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -43,8 +43,10 @@
 use super::fake_store::FakeStore;
 use super::tracing;
 use calls::CallStage;
+use departures::DelayedAnswer;
 pub use departures::Departure;
 pub use departures::DeparturePlan;
+pub use departures::Killed;
 
 /// The service whose keys have owners.
 const KEYED: &str = "keyed";
@@ -105,6 +107,7 @@
     incarnation: u64,
     frozen: bool,
     deferred: Vec<SimEvent>,
+    delayed: Vec<DelayedAnswer>,
     server: Option<FakeServer>,
     /// Whether the host is lost permanently.
     gone: bool,
@@ -154,6 +157,7 @@
             incarnation: 0,
             frozen: false,
             deferred: Vec::new(),
+            delayed: Vec::new(),
             server: None,
             gone: false,
         });
@@ -363,6 +367,7 @@
             SimEvent::HeartbeatReceived(index, heartbeat) => {
                 let incarnation = self.nodes[index].incarnation;
                 let deferred = SimEvent::HeartbeatReceived(index, heartbeat.clone());
+                self.record_draining(&heartbeat);
                 let event = Event::Server(ServerEvent::Heartbeat(heartbeat));
                 self.step(index, incarnation, event, deferred);
             }
@@ -598,6 +603,7 @@
             }
             Action::AnswerHeartbeat(answer) => {
                 let delay = self.random_delay(5);
+                self.record_answer(index, heartbeat);
                 if let Some((started_ms, sequence)) = heartbeat {
                     self.schedule(
                         delay,
@@ -612,7 +618,13 @@
                     SimEvent::Call(index, incarnation, CallStage::Started(call)),
                 );
             }
-            Action::AcknowledgeLeaving(_) => self.acknowledge_leaving(),
+            Action::DelayAnswer(answer) => self.nodes[index].delayed.push(DelayedAnswer {
+                incarnation,
+                heartbeat,
+                answer,
+                since: self.now,
+            }),
+            Action::AcknowledgeDeparture => self.send_delayed_answers(index, incarnation),
             Action::Publish
             | Action::FetchIntent(_)
             | Action::ReadIntent { .. }
--- a/crates/mesh/tests/ownership_support/mod.rs
+++ b/crates/mesh/tests/ownership_support/mod.rs
@@ -14,6 +14,7 @@
 pub use fleet::DeparturePlan;
 pub use fleet::Fleet;
 pub use fleet::FleetPlan;
+pub use fleet::Killed;
 pub use schedule::check;
 pub use schedule::plan;
 pub use schedule::run_schedules;
--- a/crates/mesh/tests/prompts.rs
+++ b/crates/mesh/tests/prompts.rs
@@ -36,6 +36,7 @@
         voters: Vec::new(),
         takeover_complete: true,
         store_suffices: true,
+        departures: Vec::new(),
     };
     node.step(
         at(0),
--- a/crates/mesh/tests/unknown_document.rs
+++ b/crates/mesh/tests/unknown_document.rs
@@ -28,6 +28,7 @@
         voters: Vec::new(),
         takeover_complete: true,
         store_suffices: true,
+        departures: Vec::new(),
     };
     let from = record.control;
     Event::Message(from, PeerMessage::LeaderAnnouncement(Box::new(record)))
@@ -72,14 +73,30 @@
 }
 
 /// Guards against nodes of two versions that don't understand each other while one replaces the other: the
-/// earlier one's heartbeats end before the departures.
+/// earlier one's heartbeats end before the departures, or have an index behind them.
 #[test]
 fn earlier_version() {
     let heartbeat = newest_heartbeat(Granting::ByHeartbeat, true);
     let message = PeerMessage::Heartbeat(Box::new(heartbeat));
     let bytes = message.encode().unwrap();
-    let earlier = &bytes[..bytes.len() - 2];
+    let earlier = &bytes[..bytes.len() - 1];
     assert_eq!(PeerMessage::decode(earlier).unwrap(), message);
+    let last = [&bytes[..], &[7]].concat();
+    assert_eq!(PeerMessage::decode(&last).unwrap(), message);
     assert_eq!(PeerMessage::decode(&bytes).unwrap(), message);
     assert!(PeerMessage::decode(&bytes[..bytes.len() / 2]).is_err());
 }
+
+/// Guards against a fleet without a leader after an update: the record in the store is one of an earlier version,
+/// which ends before the departures.
+#[test]
+fn earlier_record() {
+    let Event::Message(_, PeerMessage::LeaderAnnouncement(record)) = leader() else {
+        panic!("not a record");
+    };
+    let bytes = record.encode().unwrap();
+    let earlier = &bytes[..bytes.len() - 1];
+    assert_eq!(LeaderRecord::decode(earlier).unwrap(), *record);
+    assert_eq!(LeaderRecord::decode(&bytes).unwrap(), *record);
+    assert!(LeaderRecord::decode(&bytes[..bytes.len() / 2]).is_err());
+}
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -130,7 +130,7 @@
             leaving_reported: None,
             heartbeat: host.heartbeat,
             clock_offset: None,
-            leaving_answers: Vec::new(),
+            delayed_answers: Vec::new(),
         };
         runner.open_connections(host.server);
         runner.run(server_calls, incoming, self.shutdown).await;
--- a/crates/rack/src/control/control_runner.rs
+++ b/crates/rack/src/control/control_runner.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use quetzalrack_core::time::Moment;
-use quetzalrack_mesh::model::ServerId;
 use quetzalrack_mesh::model::ServerIncarnation;
 use quetzalrack_mesh::ownership::Action;
 use quetzalrack_mesh::ownership::Event;
@@ -64,8 +63,8 @@
     pub(super) heartbeat: Duration,
     /// The time of day less the time since the host's start, as the machine was last told.
     pub(super) clock_offset: Option<Duration>,
-    /// Calls of servers that leave, which are not answered yet.
-    pub(super) leaving_answers: Vec<(ServerId, oneshot::Sender<HeartbeatAnswer>)>,
+    /// Answers to calls of the server that wait until its departure is acknowledged.
+    pub(super) delayed_answers: Vec<(HeartbeatAnswer, oneshot::Sender<HeartbeatAnswer>)>,
 }
 
 impl ControlRunner {
@@ -113,16 +112,11 @@
     fn handle_call(&mut self, event: ServerEvent, answer: oneshot::Sender<HeartbeatAnswer>) {
         self.unreachable_reported = false;
         self.read_clock();
-        let answer = match &event {
-            ServerEvent::Leaving { id, started_ms } => {
-                let started_ms = started_ms.unwrap_or_default();
-                log::info!(event = "server_leaves", server:% = id, started_ms = started_ms; "");
-                self.keep_leaving_answer(id.clone(), answer);
-                None
-            }
-            _ => Some(answer),
-        };
-        self.step(Event::Server(event), answer);
+        if let ServerEvent::Leaving { id, started_ms } = &event {
+            let started_ms = started_ms.unwrap_or_default();
+            log::info!(event = "server_leaves", server:% = id, started_ms = started_ms; "");
+        }
+        self.step(Event::Server(event), Some(answer));
         if let Some(server) = self.machine.server() {
             self.open_connections(server.address);
         }
@@ -145,21 +139,23 @@
         }
     }
 
-    /// Keeps the answer to a server that leaves until another process knows of it.
-    fn keep_leaving_answer(&mut self, id: ServerId, answer: oneshot::Sender<HeartbeatAnswer>) {
-        self.leaving_answers
+    /// Keeps an answer until the server's departure is acknowledged.
+    fn delay_answer(
+        &mut self,
+        answer: HeartbeatAnswer,
+        sender: Option<oneshot::Sender<HeartbeatAnswer>>,
+    ) {
+        self.delayed_answers
             .retain(|(_, earlier)| !earlier.is_closed());
-        self.leaving_answers.push((id, answer));
+        self.delayed_answers
+            .extend(sender.map(|sender| (answer, sender)));
     }
 
-    fn acknowledge_leaving(&mut self, id: &ServerId) {
-        log::info!(event = "leaving_acknowledged", server:% = id; "");
-        let acknowledged = self
-            .leaving_answers
-            .extract_if(.., |(leaving, _)| leaving == id);
-        for (_, answer) in acknowledged {
+    fn acknowledge_departure(&mut self) {
+        log::info!(event = "departure_acknowledged", answers = self.delayed_answers.len(); "");
+        for (answer, sender) in self.delayed_answers.drain(..) {
             // A server that closed the connection repeats the call.
-            answer.send(HeartbeatAnswer::Acknowledged).ok();
+            sender.send(answer).ok();
         }
     }
 
@@ -220,9 +216,12 @@
                         answer.send(heartbeat_answer).ok();
                     }
                 }
-                Action::AcknowledgeLeaving(id) => {
+                Action::DelayAnswer(heartbeat_answer) => {
+                    self.delay_answer(heartbeat_answer, answer.take());
+                }
+                Action::AcknowledgeDeparture => {
                     self.publish(now);
-                    self.acknowledge_leaving(&id);
+                    self.acknowledge_departure();
                 }
                 // The spawned call starts only after the view that results from this step is published.
                 Action::CallServer(call) => {
--- a/crates/rack/tests/system/leaving_servers.rs
+++ b/crates/rack/tests/system/leaving_servers.rs
@@ -143,3 +143,55 @@
         "leader {leader}: the other servers did not take over: {refused:#?}"
     );
 }
+
+/// How a server says that it leaves.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    Call,
+    Draining,
+}
+
+/// Kills all processes after a server has left, and lets an earlier heartbeat of it arrive.
+async fn check_all_killed(way: Way) {
+    let mut world = World::start(&["plain", "plain", "keyed"]).await;
+    world.wait_until_served(START).await;
+    let server = world.hosts[0].server.clone();
+    let late = server.hold_heartbeat();
+    let is_acknowledged = match way {
+        Way::Call => server.deregister().await,
+        Way::Draining => server.report_draining().await,
+    };
+    assert!(is_acknowledged, "not acknowledged");
+    for host in 0..3 {
+        world.kill_node(host);
+    }
+    for host in 0..3 {
+        world.start_node(host);
+    }
+    let hosts = [0, 1, 2];
+    send(&world, "restarting", &hosts, Duration::from_millis(300)).await;
+    assert!(server.deliver(late).await);
+    send(&world, "late", &hosts, Duration::from_secs(3)).await;
+    let before = server.arrived();
+    send(&world, "after", &hosts, Duration::from_secs(3)).await;
+    assert_eq!(server.arrived(), before, "a server that left gets requests");
+    server.crash();
+    server.restart_as("server-0");
+    send(&world, "next", &hosts, Duration::from_secs(2)).await;
+    assert!(
+        server.arrived() > before,
+        "the next incarnation gets no work"
+    );
+}
+
+/// Guards against requests to a server whose leaving was acknowledged, if all processes are killed after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_killed_after_leaving() {
+    check_all_killed(Way::Call).await;
+}
+
+/// Guards against the same for a server that reports `draining` and sends nothing more.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_killed_after_draining() {
+    check_all_killed(Way::Draining).await;
+}
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -543,6 +543,18 @@
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Reports `draining` in one last heartbeat, and returns whether it was acknowledged.
+    pub async fn report_draining(&self) -> bool {
+        let heartbeat = {
+            let mut state = self.lock();
+            state.draining = true;
+            state.silent = false;
+            drop(state);
+            self.hold_heartbeat()
+        };
+        self.deliver(heartbeat).await
+    }
+
     /// Writes a last heartbeat, which is held up on its way.
     pub fn hold_heartbeat(&self) -> PendingHeartbeat {
         let heartbeat = self.next_heartbeat().unwrap();
