leader: a report of an earlier incarnation doesn't free the keys of the one that runs

The process beside a server that had crashed and started again was killed, and a heartbeat of the earlier life was the first that the next process got.

Cause: the leader took any other incarnation in a node's report for the holder's successor, and freed its keys at once. The reported one had started before the holder.

Fix: only a later start time ends a holder. Otherwise the range stays as it is, is not renewed for the reported incarnation, and lapses if the holder is not heard again; so it also moves on if the host's clock was set back.

--- a/crates/mesh/src/model/server_id.rs
+++ b/crates/mesh/src/model/server_id.rs
@@ -25,6 +25,11 @@
 }
 
 impl ServerIncarnation {
+    /// Tells whether it started before another incarnation of the same host's server, by their clock.
+    pub fn is_before(&self, other: &Self) -> bool {
+        self.started_ms < other.started_ms
+    }
+
     /// Returns the identity by which nodes tell each other of the incarnation's end.
     pub fn life(&self) -> ServerLife {
         ServerLife::of(&self.id.0, self.started_ms)
--- a/crates/mesh/src/ownership/leader/assignments.rs
+++ b/crates/mesh/src/ownership/leader/assignments.rs
@@ -4,9 +4,11 @@
 use quetzalrack_core::time::Moment;
 
 use super::leader_machine::Leader;
+use super::range_entry::RangeLease;
 use super::range_entry::RangeState;
 use crate::model::GrantedRange;
 use crate::model::HeldRange;
+use crate::model::ServerIncarnation;
 use crate::ownership::Assignment;
 use crate::ownership::LeaseTimes;
 
@@ -28,13 +30,15 @@
             for entry in range_map.entries() {
                 match &entry.state {
                     RangeState::Unknown if peer.may_hold(&entry.keys) => return None,
-                    RangeState::Held(lease) if lease.node == *node => ranges.push(GrantedRange {
-                        held: HeldRange {
-                            keys: entry.keys,
-                            fence: lease.fence,
-                        },
-                        handover: lease.handover.clone(),
-                    }),
+                    RangeState::Held(lease) if is_held_by(lease, node, &server.incarnation) => {
+                        ranges.push(GrantedRange {
+                            held: HeldRange {
+                                keys: entry.keys,
+                                fence: lease.fence,
+                            },
+                            handover: lease.handover.clone(),
+                        })
+                    }
                     _ => {}
                 }
             }
@@ -60,14 +64,20 @@
             .any(|target| target == node)
     }
 
-    pub(super) fn extend_leases(&mut self, now: Moment, node: &NodeName) {
+    /// Extends the leases of the ranges that an assignment names.
+    pub(super) fn extend_leases(
+        &mut self,
+        now: Moment,
+        node: &NodeName,
+        server: &ServerIncarnation,
+    ) {
         let remaining = self.authority.remaining(now, &self.times);
         let end = now + LeaseTimes::plus_clock_drift(remaining);
         for range_map in self.range_maps.values_mut() {
             for entry in range_map.entries_mut() {
                 match &mut entry.state {
                     // An earlier, longer lease stays valid when this one is shorter.
-                    RangeState::Held(lease) if lease.node == *node => {
+                    RangeState::Held(lease) if is_held_by(lease, node, server) => {
                         lease.expires_at = lease.expires_at.max(end);
                     }
                     _ => {}
@@ -76,3 +86,10 @@
         }
     }
 }
+
+/// Tells whether a range may be renewed for the server beside a node. The node may report an incarnation before
+/// the one that holds the range.
+fn is_held_by(lease: &RangeLease, node: &NodeName, server: &ServerIncarnation) -> bool {
+    let holder = lease.server.as_ref();
+    lease.node == *node && holder.is_none_or(|holder| !server.is_before(holder))
+}
--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -187,8 +187,8 @@
             true => self.assignment(&node),
             false => None,
         };
-        if assignment.is_some() {
-            self.extend_leases(now, &node);
+        if let Some(assignment) = &assignment {
+            self.extend_leases(now, &node, &assignment.server);
         }
         let reply = LeaderReply {
             epoch: self.record.epoch,
--- a/crates/mesh/src/ownership/leader/range_updates.rs
+++ b/crates/mesh/src/ownership/leader/range_updates.rs
@@ -141,17 +141,26 @@
 /// Returns the next state of a range of the node that sent a heartbeat, if it changes.
 fn next_state(now: Moment, entry: &RangeEntry, heartbeat: &NodeHeartbeat) -> Option<RangeState> {
     let server = heartbeat.member.server.as_ref();
-    let incarnation = entry.state.lease()?.server.as_ref();
-    let restarted = server.is_some_and(|server| {
-        incarnation.is_some_and(|incarnation| *incarnation != server.incarnation)
-    });
+    let holder = entry.state.lease()?.server.as_ref();
+    let reported = server.map(|server| &server.incarnation);
+    let restarted = holder
+        .zip(reported)
+        .is_some_and(|(holder, reported)| holder != reported);
+    // A restarted node has heard a late heartbeat of an incarnation before the holder, which goes on holding
+    // the range. If the host's clock was set back, and the holder has ended, the range lapses.
+    if holder
+        .zip(reported)
+        .is_some_and(|(holder, reported)| reported.is_before(holder))
+    {
+        return None;
+    }
     let mut reported = heartbeat.holding.iter().chain(&heartbeat.earlier_grants);
     let held = reported.any(|held| held.keys.common(&entry.keys).is_some());
     // A call to the earlier incarnation may have reached the current one.
     let nothing_inherited =
         heartbeat.granting == Granting::ByHeartbeat || (heartbeat.holding_complete && !held);
     match &entry.state {
-        // A host runs one incarnation of its server at a time, so the earlier one has ended.
+        // A host runs one incarnation of its server at a time, so the holder has ended.
         _ if restarted && nothing_inherited => Some(RangeState::free()),
         RangeState::Held(lease) if restarted => Some(RangeState::releasing(now, lease)),
         // A restarted node that has not received its server's heartbeats yet reports no ranges,
--- a/crates/mesh/tests/ownership_schedules.rs
+++ b/crates/mesh/tests/ownership_schedules.rs
@@ -96,6 +96,24 @@
     }
 }
 
+/// Guards against two holders because of a late heartbeat of a server. The server has crashed and started again,
+/// and its next incarnation holds keys. The process beside it is killed, and the next one hears the late
+/// heartbeat first. The leader took that for the end of the holder and granted its keys to another server.
+#[test]
+fn late_heartbeat_of_earlier_server() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(plan(seed, FaultKind::NoFaults, Granting::ByHeartbeat));
+        fleet.restart_server(Duration::from_millis(1_400));
+        fleet.run();
+        assert_eq!(fleet.violation, None, "seed {seed}");
+        assert!(
+            fleet.final_owned >= 65_000,
+            "seed {seed}: {} keys",
+            fleet.final_owned
+        );
+    }
+}
+
 /// Guards against a late replacement of the first leader of an environment, which is lost permanently and
 /// never restarts under its name. Its followers had kept its first record, which named no voters, so they
 /// asked no node whether the leader is responsive. All keys had no owner until two of its refreshes were
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod departures;
 mod faults;
+mod restarts;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -130,6 +131,9 @@
     ShutDownLeader,
     LoseLeader,
     ServerLeaves(DeparturePlan),
+    ServerCrashes,
+    KillBeside(usize, ServerHeartbeat),
+    DeliverLate(usize, ServerHeartbeat),
     LeavingReceived(usize, ServerIncarnation),
     ShutDown(usize, u64),
     ProcessEnded(usize, u64),
@@ -320,6 +324,9 @@
                 }
             }
             SimEvent::ServerLeaves(plan) => self.start_departure(plan),
+            SimEvent::ServerCrashes => self.crash_server(),
+            SimEvent::KillBeside(index, late) => self.kill_beside(index, late),
+            SimEvent::DeliverLate(index, late) => self.deliver_late(index, late),
             event @ SimEvent::LeavingReceived(..) => self.announce_leaving(event),
             SimEvent::ShutDown(index, incarnation) => {
                 self.step(
