platform, mesh: odd entries of another writer leave the server in use

Cause: a heartbeat was taken for the next life of the server if its required fields could be read. zone, version and cold_left could be missing; port 0, no slots, any length of id, list or token and any number were taken; its address was not compared with that of the host's server; a start time in the future replaced the server that runs, and its own heartbeats were then earlier ones.

The body of a call is bounded (256 KiB, 5 s).

--- a/crates/mesh/src/ownership/node_machine/node_profile.rs
+++ b/crates/mesh/src/ownership/node_machine/node_profile.rs
@@ -22,6 +22,8 @@
     pub traffic: SocketAddr,
     /// The service of its backend server.
     pub service: ServiceName,
+    /// Where its backend server listens.
+    pub server: SocketAddr,
     /// How often its backend server sends a heartbeat.
     pub heartbeat: Duration,
     /// How keys are granted to its backend server, unless the settings of its service say otherwise.
--- a/crates/mesh/src/ownership/node_machine/server_events.rs
+++ b/crates/mesh/src/ownership/node_machine/server_events.rs
@@ -63,7 +63,7 @@
             );
             log_event(actions, "server_life", epoch, detail);
         }
-        if !self.names_known_service(&heartbeat) || self.is_before_departure(&heartbeat) {
+        if !self.is_of_host(&heartbeat) || self.is_before_departure(&heartbeat) {
             actions.push(Action::AnswerHeartbeat(HeartbeatAnswer::Acknowledged));
             return;
         }
@@ -91,8 +91,13 @@
         self.server.ran_before()
     }
 
-    /// Tells whether a heartbeat names the host's service, or another one of the operators' document. What
-    /// another writer sends says nothing about the server here, which goes on holding its keys.
+    /// Tells whether a heartbeat names the host's server: its address, and its service or another one of the
+    /// operators' document. What another writer sends says nothing about the server here, which goes on
+    /// holding its keys.
+    fn is_of_host(&self, heartbeat: &ServerHeartbeat) -> bool {
+        heartbeat.address == self.profile.server && self.names_known_service(heartbeat)
+    }
+
     fn names_known_service(&self, heartbeat: &ServerHeartbeat) -> bool {
         let config = self.intent.config.as_ref();
         heartbeat.service == self.profile.service
--- a/crates/mesh/src/ownership/server_grants/incarnation_order.rs
+++ b/crates/mesh/src/ownership/server_grants/incarnation_order.rs
@@ -9,7 +9,10 @@
 
 /// How far two readings of the host's clocks may differ without a step of the time of day.
 const CLOCK_TOLERANCE_MS: u64 = 20;
-/// How long an incarnation must be silent until one with an earlier start time may succeed it.
+/// How far ahead of the host's time of day a start time may be, as both are read in turn.
+const MAX_AHEAD_MS: u64 = 1_000;
+/// How long an incarnation must be silent until one may succeed it whose start time the order of starts does
+/// not explain.
 const SUCCESSOR_SILENCE: Duration = Duration::from_millis(2_500);
 /// For how long an incarnation with an earlier start time must send heartbeats to count as running although
 /// no step of the clock explains its start time. Heartbeats on their way from one that has ended run out.
@@ -94,6 +97,14 @@
         }
     }
 
+    /// Tells whether an incarnation claims to start later than now. That says nothing of what came after what;
+    /// the host's clock was set back, or another writer made it up.
+    pub(super) fn is_future(&self, now: Moment, incarnation: &ServerIncarnation) -> bool {
+        let latest_ms = |unix_ms: u64| unix_ms.saturating_add(MAX_AHEAD_MS);
+        self.unix_time(now)
+            .is_some_and(|unix_ms| incarnation.started_ms > latest_ms(unix_ms))
+    }
+
     /// Tells whether a heartbeat of an incarnation that is not the current one comes from an earlier one.
     /// `silent_since` is when the current one was last heard.
     pub(super) fn is_earlier(
@@ -103,6 +114,10 @@
         silent_since: Option<Moment>,
     ) -> bool {
         let incarnation = &heartbeat.incarnation;
+        let is_silent = silent_since.is_none_or(|since| now.since(since) >= SUCCESSOR_SILENCE);
+        if self.is_future(now, incarnation) && !is_silent {
+            return true;
+        }
         let Some(latest) = &self.latest else {
             return false;
         };
@@ -111,7 +126,6 @@
         }
         let set_back_ms = self.set_back_ms - latest.set_back_ms;
         let is_explained = incarnation.started_ms.saturating_add(set_back_ms) > latest.started_ms;
-        let is_silent = silent_since.is_none_or(|since| now.since(since) >= SUCCESSOR_SILENCE);
         let is_successor =
             (is_explained && is_silent) || self.is_proven_by(now, heartbeat, silent_since);
         if !is_successor {
--- a/crates/mesh/tests/lone_node/mod.rs
+++ b/crates/mesh/tests/lone_node/mod.rs
@@ -34,6 +34,7 @@
         control: "127.0.0.1:7620".parse().unwrap(),
         traffic: "127.0.0.1:7621".parse().unwrap(),
         service: "service".parse().unwrap(),
+        server: "127.0.0.1:8301".parse().unwrap(),
         heartbeat: Duration::from_millis(870),
         granting,
         narrow_link: false,
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -462,6 +462,7 @@
             control: address(index),
             traffic: address(index),
             service: service(index).parse().unwrap(),
+            server: "127.0.0.1:1".parse().unwrap(),
             heartbeat: HEARTBEAT,
             granting: self.plan.granting,
             narrow_link: index % 3 == 2,
--- a/crates/rack/src/control/server_port.rs
+++ b/crates/rack/src/control/server_port.rs
@@ -11,6 +11,7 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use quetzalrack_mesh::ownership::HeartbeatAnswer;
 use quetzalrack_mesh::ownership::ServerEvent;
@@ -26,6 +27,11 @@
 /// How long a call may wait for its answer; the server repeats one that takes a second.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Longest body of a call; a heartbeat with the largest number of ranges is shorter.
+const MAX_BODY_BYTES: usize = 256 * 1024;
+/// How long the body of a call may take to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A call of the backend server with the sender of its answer.
 pub(super) type PendingServerCall = (ServerEvent, oneshot::Sender<HeartbeatAnswer>);
 
@@ -45,17 +51,17 @@
         };
         let event = match call {
             ServerCall::Leave(id) => {
-                let Ok(body) = request.into_body().collect().await else {
+                let Some(body) = read_body(request.into_body()).await else {
                     return status(StatusCode::BAD_REQUEST);
                 };
-                let started_ms = parse_leave(&body.to_bytes());
+                let started_ms = parse_leave(&body);
                 ServerEvent::Leaving { id, started_ms }
             }
             ServerCall::Heartbeat(id) => {
-                let Ok(body) = request.into_body().collect().await else {
+                let Some(body) = read_body(request.into_body()).await else {
                     return status(StatusCode::BAD_REQUEST);
                 };
-                match parse_heartbeat(id, &body.to_bytes()) {
+                match parse_heartbeat(id, &body) {
                     Ok(heartbeat) => ServerEvent::Heartbeat(heartbeat),
                     // A malformed heartbeat changes nothing about the known server.
                     Err(error) => {
@@ -91,6 +97,13 @@
     }
 }
 
+/// Reads the body of a call; returns `None` if it is too long, too slow or cut short.
+async fn read_body(body: Incoming) -> Option<Bytes> {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect();
+    let body = tokio::time::timeout(BODY_TIMEOUT, body).await.ok()?.ok()?;
+    Some(body.to_bytes())
+}
+
 pub(super) fn status(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::default());
     *response.status_mut() = status;
--- a/crates/rack/src/node/running_node.rs
+++ b/crates/rack/src/node/running_node.rs
@@ -51,6 +51,7 @@
             control: advertised,
             traffic: advertised,
             service: host.service.clone(),
+            server: host.server,
             heartbeat: host.heartbeat,
             granting: host.granting,
             narrow_link: host.link.is_some_and(LinkRate::is_narrow),
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -12,6 +12,7 @@
 mod leaving_servers;
 mod losses;
 mod named_limits;
+mod other_writers;
 mod pipelines;
 mod poison_requests;
 mod reload;
--- a/crates/rack/tests/system/support/node_process.rs
+++ b/crates/rack/tests/system/support/node_process.rs
@@ -79,6 +79,14 @@
         kill_process(id, signal).unwrap();
     }
 
+    /// Returns the largest memory that the process has used, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kibibytes = peak.and_then(|text| text.split_whitespace().next());
+        kibibytes.unwrap().parse::<u64>().unwrap() * 1_024
+    }
+
     /// Returns whether the process has exited by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().unwrap().is_some()
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -543,6 +543,11 @@
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Returns where it sends heartbeats, and the address that they name.
+    pub fn addresses(&self) -> (SocketAddr, String) {
+        (self.plan.control, self.plan.advertised.to_string())
+    }
+
     /// Reports `draining` in one last heartbeat, and returns whether it was acknowledged.
     pub async fn report_draining(&self) -> bool {
         let heartbeat = {
