rack: an answer without end is given up once it can be none

Callers were held to their deadlines, and over 100 MB were read from one server for one answer, when bytes came that are no answer and have no end.

Cause: a chunk's size line with zeros without end, and interim answers without end, are read and dropped by the HTTP library as long as they come; a body without end is collected without a bound.

Fix: each connection counts what arrives without adding to the body. After 192 KiB, or a body of 32 MiB, the exchange ends, its connection is closed, and the caller is answered; a request that may be repeated goes to another server. It counts as bytes that aren't the server's, not as its end.

Evidence: broken_answers::endless_answers, fifteen ways, callers on the server's host and on another: each is answered within 0.9 s of a deadline of 1.5 s, less than 80 MB are read, a process stays below 120 MB, and the next request is served. An answer that is cut in its head, at every byte, gave no success before or after (broken_answers::cut_heads, three framings, both hops to the caller). Red before (debug build): interim answers, host 1 answered 504 after 1.0 s and host 0 after 1.4 s, 199 MB read; chunk size, 504 after 9.0 s; a body to the close, 200 after 2.6 s. The other twelve ways ended before too.

The own interface streams bodies and uses another client; it was not tried.

--- a/crates/rack/src/control/key_calls.rs
+++ b/crates/rack/src/control/key_calls.rs
@@ -161,10 +161,12 @@
             }
             Ok(Ok(_)) => KeyCallOutcome::Rejected,
             Ok(Err(ExchangeError::Connect(_))) => KeyCallOutcome::NotSent,
-            Ok(Err(ExchangeError::Broken(_))) | Err(_) => KeyCallOutcome::Unanswered {
-                closed: clock::now(),
-                time: Duration::ZERO,
-            },
+            Ok(Err(ExchangeError::Broken(_) | ExchangeError::Endless)) | Err(_) => {
+                KeyCallOutcome::Unanswered {
+                    closed: clock::now(),
+                    time: Duration::ZERO,
+                }
+            }
         }
     }
 }
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -200,6 +200,10 @@
                 };
                 (Outcome::Lost(LostReason::Broken), feedback)
             }
+            Ok(Err(ExchangeError::Endless)) => {
+                self.distrust();
+                (Outcome::Lost(LostReason::Broken), Feedback::default())
+            }
             Err(_) if !limiter.is_write_allowed() => (
                 Outcome::NotRun(RefusalReason::Expired, RETRY_AFTER_REFUSAL),
                 Feedback::default(),
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -175,7 +175,7 @@
             Ok(Err(ExchangeError::Connect(_))) => {
                 AttemptReport::new(Outcome::NotRun(RefusalReason::NodeAway, Duration::ZERO))
             }
-            Ok(Err(ExchangeError::Broken(_))) => {
+            Ok(Err(ExchangeError::Broken(_) | ExchangeError::Endless)) => {
                 self.pool.close_idle(address);
                 AttemptReport::new(Outcome::Lost(LostReason::Broken))
             }
--- a/crates/rack/src/traffic/wire/connection.rs
+++ b/crates/rack/src/traffic/wire/connection.rs
@@ -1,5 +1,7 @@
 //! One connection of a pool.
 
+use std::rc::Rc;
+
 use bytes::Bytes;
 use http::Request;
 use http::Response;
@@ -11,12 +13,14 @@
 
 use super::CallTag;
 use super::ExchangeError;
+use super::response_meter::ResponseMeter;
 
 /// One connection; dropping it closes it, and cancels its request at the peer.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) opened_at: Moment,
     pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) meter: Rc<ResponseMeter>,
     pub(super) task: AbortHandle,
     /// Whether it has carried a request, so that further responses to that may still come.
     pub(super) is_used: bool,
@@ -48,6 +52,20 @@
         request: Request<Full<Bytes>>,
     ) -> Result<SendOutcome, ExchangeError> {
         self.is_used = true;
+        self.meter.start();
+        let meter = Rc::clone(&self.meter);
+        tokio::select! {
+            biased;
+            // Dropping the connection makes the peer stop.
+            () = meter.exceeded() => Err(ExchangeError::Endless),
+            outcome = self.exchange(request) => outcome,
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<SendOutcome, ExchangeError> {
         let response = match self.sender.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
@@ -55,8 +73,18 @@
                 None => return Err(error.into_error().into()),
             },
         };
-        let (head, body) = response.into_parts();
-        let body = body.collect().await?.to_bytes();
+        let (head, mut body) = response.into_parts();
+        let mut parts = Vec::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame?.into_data() {
+                self.meter.record_body(data.len());
+                parts.push(data);
+            }
+        }
+        let body = match parts.len() {
+            1 => parts.pop().unwrap_or_default(),
+            _ => parts.concat().into(),
+        };
         Ok(SendOutcome::Answered(Response::from_parts(head, body)))
     }
 }
--- a/crates/rack/src/traffic/wire/mod.rs
+++ b/crates/rack/src/traffic/wire/mod.rs
@@ -11,6 +11,7 @@
 mod paced_stream;
 mod pool;
 mod request_scanner;
+mod response_meter;
 mod reuse;
 mod watched_stream;
 mod write_limiter;
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -13,6 +13,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use quetzalrack_core::time::Moment;
+use tokio_util::io::InspectReader;
 
 use super::KeptResponse;
 use super::LinkPacer;
@@ -24,6 +25,8 @@
 use super::dial::DialError;
 use super::dial::dial;
 use super::open_connections::OpenConnections;
+use super::response_meter::MAX_BUFFER_BYTES;
+use super::response_meter::ResponseMeter;
 use crate::clock;
 
 /// How often the pool is checked for an idle connection while all are in use.
@@ -50,6 +53,9 @@
     /// The connection broke, or brought no valid response; the request may have run.
     #[error("the connection broke: {0}")]
     Broken(#[from] hyper::Error),
+    /// More bytes came than belong to any response; the request may have run.
+    #[error("the response has no end")]
+    Endless,
 }
 
 /// Keeps idle connections by address.
@@ -272,8 +278,15 @@
     async fn open(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
         let stream = dial(address, self.limits.dial_timeout).await?;
         *self.opened_count.borrow_mut() += 1;
+        let meter = Rc::new(ResponseMeter::default());
+        let counted = Rc::clone(&meter);
         let stream = PacedStream::new(stream, self.pacer.clone());
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let stream =
+            InspectReader::new(stream, move |bytes: &[u8]| counted.record_read(bytes.len()));
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         let opened_at = clock::now();
         let open = self.open.enter(opened_at);
         // The sender reports when the connection ends.
@@ -284,6 +297,7 @@
         Ok(Connection {
             opened_at,
             sender,
+            meter,
             task: task.abort_handle(),
             is_used: false,
             carried: Vec::new(),
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! System tests: processes of the program with stand-ins for the platform, on loopback.
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+mod broken_answers;
 mod call_grants;
 mod cold_servers;
 mod explained;
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -36,6 +36,8 @@
 use super::content_checker::Content;
 use super::copying_stream::CopiedResponses;
 use super::copying_stream::CopyingStream;
+use super::raw_answers::RawRecord;
+use super::raw_answers::serve_raw;
 use super::truth::HeldRange;
 use super::truth::Truth;
 
@@ -543,6 +545,19 @@
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Answers all requests with raw bytes from now on; its heartbeats go on.
+    pub fn answer_raw(&self) -> Arc<RawRecord> {
+        let record = Arc::new(RawRecord::default());
+        let serving = serve_raw(self.plan.listen, Arc::clone(&record));
+        self.replace_port(Some(tokio::spawn(serving).abort_handle()));
+        record
+    }
+
+    /// Answers as usual again.
+    pub fn answer_normally(&self) {
+        self.open_port();
+    }
+
     /// Returns where it sends heartbeats, and the address that they name.
     pub fn addresses(&self) -> (SocketAddr, String) {
         (self.plan.control, self.plan.advertised.to_string())
