mesh: a claim without a response is sent again

Cause: a claim without a response may have been appended, so its node waits for a read that tells. If it never was, no read does; with such a claim at every node nobody ever claimed again.

Fix: when the search would claim again and the topic still ends where the claim requires, the same record is sent under the same condition. At most one of the two takes effect. If the first did, the next read shows it.

--- a/crates/mesh/src/ownership/leader/leader_machine.rs
+++ b/crates/mesh/src/ownership/leader/leader_machine.rs
@@ -74,8 +74,10 @@
     pub(in crate::ownership) previous: Option<LeaderRecord>,
     /// Where the topic ends after the claim.
     pub(in crate::ownership) topic_end: u64,
-    /// When the claim was sent.
+    /// When the claim was last sent.
     pub(in crate::ownership) sent_at: Moment,
+    /// Whether the store has not answered it, so that it may have been appended, or never.
+    pub(in crate::ownership) is_unanswered: bool,
 }
 
 impl Leader {
--- a/crates/mesh/src/ownership/node_machine/leader_change.rs
+++ b/crates/mesh/src/ownership/node_machine/leader_change.rs
@@ -85,7 +85,17 @@
         previous: Option<LeaderRecord>,
         actions: &mut Vec<Action>,
     ) {
-        if self.claim.is_some() || self.leaving {
+        if self.leaving {
+            return;
+        }
+        if let Some(claim) = &mut self.claim {
+            // Both attempts require the same end of the topic, so at most one takes effect.
+            if claim.is_unanswered && claim.topic_end == topic_end + 1 {
+                claim.is_unanswered = false;
+                claim.sent_at = now;
+                let record = claim.record.clone();
+                actions.push(Action::WriteLeader { topic_end, record });
+            }
             return;
         }
         let epoch = previous
@@ -124,6 +134,7 @@
             previous,
             topic_end: topic_end + 1,
             sent_at: now,
+            is_unanswered: false,
         });
     }
 
@@ -148,8 +159,14 @@
                 self.claim = None;
                 self.search.reset();
             }
-            // The claim may have been appended, or may still be; the next reads tell.
-            AppendOutcome::Unknown => self.search.reset(),
+            // The claim may have been appended, or may still be; the next reads tell, and if they show it
+            // nowhere, it is sent again.
+            AppendOutcome::Unknown => {
+                if let Some(claim) = &mut self.claim {
+                    claim.is_unanswered = true;
+                }
+                self.search.reset();
+            }
         }
     }
 
--- a/crates/mesh/tests/ownership_schedules.rs
+++ b/crates/mesh/tests/ownership_schedules.rs
@@ -114,6 +114,23 @@
     }
 }
 
+/// Guards against a fleet that nobody leads any more: all processes are killed, and the claims of the
+/// next ones get no response and never take effect.
+#[test]
+fn silent_store_at_claims() {
+    for seed in 0..30 {
+        let mut fleet = Fleet::new(plan(seed, FaultKind::NoFaults, Granting::ByHeartbeat));
+        fleet.silence_claims(Duration::from_secs(12), Duration::from_millis(4_500));
+        fleet.run();
+        assert_eq!(fleet.violation, None, "seed {seed}");
+        assert!(
+            fleet.final_owned >= 65_536,
+            "seed {seed}: {} keys",
+            fleet.final_owned
+        );
+    }
+}
+
 /// Guards against a late replacement of the first leader of an environment, which is lost permanently and
 /// never restarts under its name. Its followers had kept its first record, which named no voters, so they
 /// asked no node whether the leader is responsive. All keys had no owner until two of its refreshes were
--- a/crates/mesh/tests/ownership_support/fleet/faults.rs
+++ b/crates/mesh/tests/ownership_support/fleet/faults.rs
@@ -140,7 +140,10 @@
                 self.partitions.remove(&(a, b));
                 self.partitions.remove(&(b, a));
             }
-            Recovery::Store => self.store_down = false,
+            Recovery::Store => {
+                self.store_down = false;
+                self.writes_are_silent = false;
+            }
             Recovery::StoreLink(index) => {
                 self.store_partitions.remove(&index);
             }
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -85,6 +85,8 @@
     store_down: bool,
     store_partitions: BTreeSet<usize>,
     store_loses_responses: bool,
+    /// Whether writes have no effect and get no response, while reads do.
+    writes_are_silent: bool,
     partitions: BTreeSet<(usize, usize)>,
     /// The highest token with which each key was held, and by which incarnation first.
     highest_fences: BTreeMap<u16, (u64, Option<ServerIncarnation>)>,
@@ -128,6 +130,7 @@
     ReadDone(usize, u64, Moment, LeaderRead),
     WriteDone(usize, u64, AppendOutcome),
     LoseStore,
+    KillAll(Duration),
     ShutDownLeader,
     LoseLeader,
     ServerLeaves(DeparturePlan),
@@ -175,6 +178,7 @@
             store_down: false,
             store_partitions: BTreeSet::new(),
             store_loses_responses: false,
+            writes_are_silent: false,
             partitions: BTreeSet::new(),
             highest_fences: BTreeMap::new(),
             final_owned: 0,
@@ -204,6 +208,11 @@
         self.schedule(at + span, SimEvent::Recover(Recovery::Store));
     }
 
+    /// Kills all processes, and lets the store answer no write of the next ones for `span`.
+    pub fn silence_claims(&mut self, at: Duration, span: Duration) {
+        self.schedule(at, SimEvent::KillAll(span));
+    }
+
     /// Tells the leader's process to shut down.
     pub fn shut_down_leader(&mut self, at: Duration) {
         self.schedule(at, SimEvent::ShutDownLeader);
@@ -324,6 +333,13 @@
                 }
             }
             SimEvent::ServerLeaves(plan) => self.start_departure(plan),
+            SimEvent::KillAll(span) => {
+                self.writes_are_silent = true;
+                self.schedule(span, SimEvent::Recover(Recovery::Store));
+                for index in 0..self.nodes.len() {
+                    self.inject(FaultKind::Kills, index);
+                }
+            }
             SimEvent::ServerCrashes => self.crash_server(),
             SimEvent::KillBeside(index, late) => self.kill_beside(index, late),
             SimEvent::DeliverLate(index, late) => self.deliver_late(index, late),
@@ -412,6 +428,11 @@
     }
 
     fn write(&mut self, index: usize, incarnation: u64, end: u64, record: LeaderRecord) {
+        if self.writes_are_silent {
+            let unknown = SimEvent::WriteDone(index, incarnation, AppendOutcome::Unknown);
+            self.schedule(Duration::from_millis(1_500), unknown);
+            return;
+        }
         if !self.reaches_store(index) {
             let outcome = match self.random.random_bool(0.5) {
                 true => AppendOutcome::Refused,
