placement: hot keys don't split a server's keys into more ranges than an answer holds

Cause: each move of a hot key splits its holder's keys further. A server takes answers of 4 KiB; one that lists more ranges is refused, nothing is renewed, and all its keys lapse, at every server in turn.

Ranges that stay split are not joined again, and a server that takes over from lost ones may pass the bound, with shorter rows: open.

--- a/crates/mesh/src/ownership/leader/candidates.rs
+++ b/crates/mesh/src/ownership/leader/candidates.rs
@@ -95,7 +95,8 @@
         let busy = key_loads.iter().map(KeyLoad::slots).sum::<f64>()
             + incoming.map(|recent| recent.usual_slots).sum::<f64>() * slowness;
         Candidate {
-            keys: own.map(|entry| entry.keys.size()).sum(),
+            keys: own.clone().map(|entry| entry.keys.size()).sum(),
+            ranges: own.count(),
             slots,
             cold: server.is_some_and(|server| server.cold),
             load: (busy / f64::from(slots)).max(peer.utilization.min(MAX_UTILIZATION_LOAD)),
--- a/crates/mesh/src/placement/candidate.rs
+++ b/crates/mesh/src/placement/candidate.rs
@@ -7,6 +7,8 @@
 pub struct Candidate {
     /// The number of keys that it holds.
     pub keys: u32,
+    /// The number of ranges that these keys form.
+    pub ranges: usize,
     /// The number of requests that it processes at once.
     pub slots: u32,
     /// Whether it is cold.
--- a/crates/mesh/src/placement/pick_moves.rs
+++ b/crates/mesh/src/placement/pick_moves.rs
@@ -26,6 +26,12 @@
 /// them. The busier of the two is then less loaded than before.
 const MAX_GAP_SHARE: f64 = 0.75;
 
+/// The most ranges that moves leave a server with. A server takes answers of 4 KiB at most, and loses all its
+/// keys if a longer one lists them; one range takes up to 48 bytes there.
+const MAX_RANGES: usize = 72;
+/// How many ranges the server that a run of keys leaves has more, until it has released the run.
+const RANGES_OF_SPLIT: usize = 2;
+
 /// A range to be moved.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct KeyMove {
@@ -48,6 +54,7 @@
     slowness: f64,
     heartbeat_phase: f64,
     cold: bool,
+    ranges: usize,
     /// The load of the keys that can still move away from it, without those that it gets from these moves.
     key_loads: Vec<KeyLoad>,
     /// Whether none of its keys is worth a move.
@@ -94,6 +101,7 @@
             slowness: server.slowness.max(f64::MIN_POSITIVE),
             heartbeat_phase: server.heartbeat_phase,
             cold: server.cold,
+            ranges: server.ranges,
             key_loads: server.key_loads.clone(),
             exhausted: false,
         }
@@ -122,9 +130,10 @@
         a.1.load.total_cmp(&b.1.load)
     };
     let (from, busiest) = all()
-        .filter(|(_, server)| !server.exhausted)
+        .filter(|(_, server)| !server.exhausted && server.ranges + RANGES_OF_SPLIT <= MAX_RANGES)
         .max_by(by_load)?;
-    let warm = || all().filter(|(index, server)| !server.cold && *index != from);
+    let has_room = |server: &ProjectedServer| !server.cold && server.ranges < MAX_RANGES;
+    let warm = || all().filter(|(index, server)| has_room(server) && *index != from);
     let (_, least_loaded) = warm().min_by(by_load)?;
     let similar = warm().filter(|(_, server)| server.load <= least_loaded.load + SIMILAR_LOAD);
     let (to, target) = similar.min_by(|(_, a), (_, b)| {
@@ -162,11 +171,13 @@
 fn apply_move(servers: &mut [ProjectedServer], chosen: &KeyMove) {
     if let Some(from) = servers.get_mut(chosen.from) {
         from.load -= chosen.usual_slots * from.slot_load();
+        from.ranges += RANGES_OF_SPLIT;
         from.key_loads
             .retain(|load| chosen.keys.common(&load.keys).is_none());
     }
     if let Some(to) = servers.get_mut(chosen.to) {
         to.load += chosen.usual_slots * to.slot_load();
+        to.ranges += 1;
     }
 }
 
--- a/crates/mesh/tests/placement.rs
+++ b/crates/mesh/tests/placement.rs
@@ -163,3 +163,39 @@
     let chosen = first_move(&[busy, cold, server(20_000, 0.5)]).unwrap();
     assert_eq!(chosen.to, 2);
 }
+
+/// Guards against a server that loses all its keys: hot keys have split them into so many ranges that it doesn't
+/// take the answer that lists them.
+#[test]
+fn bounded_ranges() {
+    const MAX_ANSWER_BYTES: usize = 4_096;
+    const ROW: &str = r#"[65535,65535,9007199254740991,"5c0e7a21d94b36f8"],"#;
+    let mut ranges = [1_usize; 4];
+    for round in 0..400_u16 {
+        let hot = usize::from(round % 4);
+        let servers: Vec<Candidate> = (0..4)
+            .map(|index| {
+                let is_hot = index == hot;
+                let keys = (0..12_u16).map(|key| KeyLoad::of(range(key * 9, key * 9), 3.0));
+                Candidate {
+                    ranges: ranges[index],
+                    key_loads: if is_hot { keys.collect() } else { Vec::new() },
+                    ..server(16_384, if is_hot { 1.8 } else { 0.1 })
+                }
+            })
+            .collect();
+        for chosen in pick_moves(&servers, 12) {
+            ranges[chosen.from] += 1;
+            ranges[chosen.to] += 1;
+        }
+    }
+    let longest = ranges.iter().max().unwrap() * ROW.len();
+    assert!(
+        ranges.iter().all(|count| *count > 30),
+        "{ranges:?}: nothing moves"
+    );
+    assert!(
+        longest + 64 <= MAX_ANSWER_BYTES,
+        "{ranges:?}: {longest} bytes"
+    );
+}
