--- a/crates/rack/tests/system/leaving_servers.rs
+++ b/crates/rack/tests/system/leaving_servers.rs
@@ -195,3 +195,23 @@
 async fn all_killed_after_draining() {
     check_all_killed(Way::Draining).await;
 }
+
+/// Guards against an acknowledgement that no record backs, and against a server that leaves and gets requests on,
+/// while the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_without_store() {
+    let world = World::start(&["plain", "plain", "keyed"]).await;
+    world.wait_until_served(START).await;
+    world.store.set_unavailable(true);
+    let server = world.hosts[0].server.clone();
+    drop(server.hold_heartbeat());
+    assert!(!server.deregister().await, "acknowledged without a record");
+    let before = server.arrived();
+    send(&world, "away", &[0, 1, 2], Duration::from_secs(2)).await;
+    assert_eq!(server.arrived(), before, "a server that left gets requests");
+    world.store.set_unavailable(false);
+    let back = Instant::now();
+    while !server.deregister().await {
+        assert!(back.elapsed() < Duration::from_secs(4), "not acknowledged");
+    }
+}
