rack: the log and the metrics tell what a process uses, and how a thread fails

A kill for memory, a panic and a lack of descriptors all look alike: no line, then start.

- memory_high at half, three quarters and nine tenths of the settings' memory_mb, with connections, requests, jobs and descriptors at that moment; memory and descriptors on the metrics page.
- panic: each panic with its thread and place, also one that ends a single connection.
- dial_failed: a connection that could not be opened for a reason at this host.
- memory_mb and max_fds are read from the settings; zero is refused.
Nothing is decided by them yet.

--- a/crates/mesh/src/model/host_settings.rs
+++ b/crates/mesh/src/model/host_settings.rs
@@ -13,6 +13,7 @@
 use super::LinkRate;
 use super::ListenAddresses;
 use super::PlatformBounds;
+use super::ProcessLimits;
 
 /// A host and the platform's requirements of the node on it.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +36,8 @@
     pub store: SocketAddr,
     /// The bandwidth of the host's own link; `None` if the platform does not state it.
     pub link: Option<LinkRate>,
+    /// What the host leaves to this process.
+    pub limits: ProcessLimits,
     /// How often the backend server sends its heartbeat.
     pub heartbeat: Duration,
     /// How the backend server is granted keys if its service does not specify it.
@@ -56,6 +59,7 @@
             ("peer_ports", self.peer_ports != other.peer_ports),
             ("store", self.store != other.store),
             ("link", self.link != other.link),
+            ("limits", self.limits != other.limits),
             ("heartbeat", self.heartbeat != other.heartbeat),
             ("granting", self.granting != other.granting),
             ("bounds", self.bounds != other.bounds),
--- a/crates/mesh/src/model/mod.rs
+++ b/crates/mesh/src/model/mod.rs
@@ -1,5 +1,6 @@
 //! Types for backend servers, the operators' intent and hosts.
 
+mod byte_size;
 mod client_limits;
 mod fencing_token;
 mod granting;
@@ -11,6 +12,7 @@
 mod listen_addresses;
 mod operators_intent;
 mod platform_bounds;
+mod process_limits;
 mod renewal;
 mod request_kind;
 mod request_rate;
@@ -22,6 +24,7 @@
 mod service_settings;
 mod weighted_service;
 
+pub use byte_size::ByteSize;
 pub use client_limits::ClientLimits;
 pub use fencing_token::FencingToken;
 pub use granting::Granting;
@@ -34,6 +37,7 @@
 pub use listen_addresses::ListenAddresses;
 pub use operators_intent::OperatorsIntent;
 pub use platform_bounds::PlatformBounds;
+pub use process_limits::ProcessLimits;
 pub use renewal::GrantedRange;
 pub use renewal::Renewal;
 pub use request_kind::RequestKind;
--- a/crates/rack/src/command/rack_command.rs
+++ b/crates/rack/src/command/rack_command.rs
@@ -18,6 +18,7 @@
 use crate::logging::start_logging;
 use crate::node::NodeOptions;
 use crate::node::RunningNode;
+use crate::process::log_panics;
 
 /// Exit status for invalid settings, before any port is bound.
 const INVALID_SETTINGS_STATUS: u8 = 2;
@@ -68,6 +69,7 @@
 
     fn serve(&self, host: HostSettings, path: PathBuf) -> miette::Result<()> {
         let logger = start_logging().into_diagnostic()?;
+        log_panics();
         log::info!(
             event = "start", node = host.node.as_str(), zone = host.zone.as_str(),
             service = host.service.as_str(), pid = std::process::id(); ""
--- a/crates/rack/src/lib.rs
+++ b/crates/rack/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod process;
 pub mod shared;
 pub mod traffic;
--- a/crates/rack/src/metrics/metrics_page.rs
+++ b/crates/rack/src/metrics/metrics_page.rs
@@ -10,6 +10,8 @@
 use hdrhistogram::Histogram;
 use quetzalrack_mesh::traffic::RefusalReason;
 
+use crate::process::UsageSample;
+
 /// Quantiles on the metrics page.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
 /// Precision of latencies: two digits are enough for the page and take 30 kB per route.
@@ -74,10 +76,7 @@
 
     /// Sets the number of contents under which servers have ended.
     pub fn set_suspects(&self, suspects: usize) {
-        let mut counts = self.counts();
-        counts
-            .counters
-            .insert("suspected_contents".to_owned(), suspects as u64);
+        self.set("suspected_contents", suspects as u64);
     }
 
     /// Counts a heartbeat of the backend server by its answer.
@@ -108,10 +107,18 @@
 
     /// Sets the number of connections opened to the backend server.
     pub fn set_opened(&self, opened: u64) {
-        let mut counts = self.counts();
-        counts
-            .counters
-            .insert("server_connections_opened_total".to_owned(), opened);
+        self.set("server_connections_opened_total", opened);
+    }
+
+    /// Sets what the process uses of its host.
+    pub fn set_usage(&self, usage: &UsageSample) {
+        self.set("memory_bytes", usage.memory.0);
+        self.set("memory_peak_bytes", usage.memory_peak.0);
+        self.set("client_connections", usage.clients as u64);
+        self.set("peer_connections", usage.peers as u64);
+        if let Some(descriptors) = usage.descriptors {
+            self.set("open_descriptors", descriptors as u64);
+        }
     }
 
     /// Returns the text of the metrics page.
@@ -141,6 +148,10 @@
         page
     }
 
+    fn set(&self, name: &str, value: u64) {
+        self.counts().counters.insert(name.to_owned(), value);
+    }
+
     fn add(&self, name: &str, labels: &str) {
         let mut counts = self.counts();
         *counts
--- a/crates/rack/src/traffic/mod.rs
+++ b/crates/rack/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod outcome;
 mod suspects;
 mod traffic_node;
+mod usage_watch;
 pub(crate) mod wire;
 
 pub(crate) use hop::INTENT_PATH;
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -18,6 +18,7 @@
 use super::ingress::Ingress;
 use super::suspects::SuspectExchange;
 use super::suspects::Suspects;
+use super::usage_watch::UsageWatch;
 use super::wire::ActiveCounter;
 use super::wire::LinkPacer;
 use super::wire::listen;
@@ -150,6 +151,15 @@
             closing: peers_closing,
         };
         tokio::task::spawn_local(hop_server.run(peers));
+        let watch = UsageWatch {
+            limits: host.limits,
+            metrics: Arc::clone(&self.metrics),
+            ingress,
+            egress: Rc::clone(&egress),
+            clients: shutdown.client_connections.clone(),
+            peers: shutdown.peer_connections.clone(),
+        };
+        tokio::task::spawn_local(watch.run());
         while !self.board.is_shutting_down() {
             self.board.set_report(egress.report());
             suspects.review();
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -276,7 +276,11 @@
     }
 
     async fn open(&self, address: SocketAddr) -> Result<Connection, ExchangeError> {
-        let stream = dial(address, self.limits.dial_timeout).await?;
+        let stream = dial(address, self.limits.dial_timeout).await;
+        if let Err(DialError::Io(error)) = &stream {
+            log::warn!(event = "dial_failed", to:% = address; "{error}");
+        }
+        let stream = stream?;
         *self.opened_count.borrow_mut() += 1;
         let meter = Rc::new(ResponseMeter::default());
         let counted = Rc::clone(&meter);
--- a/crates/rack/tests/settings.rs
+++ b/crates/rack/tests/settings.rs
@@ -78,6 +78,16 @@
         ),
         ("cold_slack = 5", "cold_slack = nan", "cold_slack"),
         ("[7620, 7635]", "[7635, 7620]", "internal_ports"),
+        (
+            "[self.limits]",
+            "[self.limits]\nmemory_mb = 0",
+            "self.limits.memory_mb",
+        ),
+        (
+            "[self.limits]",
+            "[self.limits]\nmax_fds = 0",
+            "self.limits.max_fds",
+        ),
     ] {
         let output = run(Some(&valid.replace(from, to)));
         assert_eq!(output.status.code(), Some(2), "{to}");
