tests: crowds, a target for clients that don't behave

Worlds whose settings contain memory_mb and max_fds and whose configuration's limits are lowered; raw clients that stay open; checks that don't depend on the machine's speed.

--- a/crates/rack/tests/system/support/node_process.rs
+++ b/crates/rack/tests/system/support/node_process.rs
@@ -87,12 +87,33 @@
         kibibytes.unwrap().parse::<u64>().unwrap() * 1_024
     }
 
+    /// Returns how many descriptors the process has open, and how many of them are sockets and pipes.
+    pub fn descriptors(&self) -> (usize, usize) {
+        count_descriptors(self.id())
+    }
+
     /// Returns whether the process has exited by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().unwrap().is_some()
     }
 }
 
+/// Returns how many descriptors a process has open, and how many of them are sockets and pipes.
+pub fn count_descriptors(process: u32) -> (usize, usize) {
+    let Ok(entries) = fs::read_dir(format!("/proc/{process}/fd")) else {
+        return (0, 0);
+    };
+    let mut counts = (0, 0);
+    for entry in entries.flatten() {
+        // It may have been closed since.
+        let target = fs::read_link(entry.path()).unwrap_or_default();
+        let target = target.to_string_lossy();
+        counts.0 += 1;
+        counts.1 += usize::from(target.starts_with("socket:") || target.starts_with("pipe:"));
+    }
+    counts
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         // The process may have exited already.
--- a/crates/rack/tests/system/support/stand_in_server.rs
+++ b/crates/rack/tests/system/support/stand_in_server.rs
@@ -12,6 +12,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::body::Bytes;
+use axum::extract::DefaultBodyLimit;
 use axum::extract::State;
 use axum::http::HeaderMap;
 use axum::http::Method;
@@ -55,6 +56,8 @@
 const END_DELAY: Duration = Duration::from_millis(15);
 /// How long a server that has ended under a content is away.
 const END_DOWNTIME: Duration = Duration::from_millis(400);
+/// How much of a body belongs to the content; longer ones only count by length and digest.
+const MAX_CONTENT_BYTES: usize = 64 * 1024;
 /// Timeout of a heartbeat.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -184,7 +187,10 @@
             }
         };
         let counting = self.clone();
-        let router = Router::new().fallback(any(handle_request)).with_state(self);
+        let router = Router::new()
+            .fallback(any(handle_request))
+            .layer(DefaultBodyLimit::disable())
+            .with_state(self);
         // Dropped with this incarnation, which closes every connection.
         let mut connections = JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
@@ -730,8 +736,11 @@
         method: method.to_string(),
         uri: uri.to_string(),
         key,
-        body: body.to_vec(),
+        body: body[..body.len().min(MAX_CONTENT_BYTES)].to_vec(),
     };
+    if body.len() > MAX_CONTENT_BYTES {
+        server.truth.record_long_body(&id, &body);
+    }
     server.truth.contents.arrived(&content, &incarnation, &id);
     if content.ends_servers() {
         tokio::time::sleep(END_DELAY).await;
--- a/crates/rack/tests/system/support/truth.rs
+++ b/crates/rack/tests/system/support/truth.rs
@@ -1,6 +1,8 @@
 //! Record of what the backend servers did, and of the guarantees that were violated.
 
 use std::collections::HashMap;
+use std::hash::DefaultHasher;
+use std::hash::Hasher;
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -26,6 +28,8 @@
 #[derive(Default)]
 struct State {
     runs: HashMap<String, Vec<Run>>,
+    /// Length and digest of the long bodies that servers got, by id.
+    long_bodies: HashMap<String, Vec<(usize, u64)>>,
     holders: HashMap<String, Vec<(HeldRange, Instant)>>,
     /// The highest token of each key and its holder, by ranges that cover the key space.
     highest_tokens: Vec<TokenRange>,
@@ -85,6 +89,23 @@
         state.runs.get(id).cloned().unwrap_or_default()
     }
 
+    /// Records a long body that a server got.
+    pub fn record_long_body(&self, id: &str, body: &[u8]) {
+        let got = (body.len(), digest(body));
+        let mut state = self.state.lock().unwrap();
+        state
+            .long_bodies
+            .entry(id.to_owned())
+            .or_default()
+            .push(got);
+    }
+
+    /// Returns length and digest of the long bodies that servers got with this id.
+    pub fn long_bodies(&self, id: &str) -> Vec<(usize, u64)> {
+        let state = self.state.lock().unwrap();
+        state.long_bodies.get(id).cloned().unwrap_or_default()
+    }
+
     /// Returns how many requests were executed, and the number of executions beyond the first of
     /// each.
     pub fn repeats(&self) -> (usize, usize) {
@@ -147,6 +168,13 @@
     }
 }
 
+/// Returns the digest of a body.
+pub fn digest(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(body);
+    hasher.finish()
+}
+
 /// Records a range and its token for an incarnation of a server; returns the first part that
 /// another had with a token at least as high. Works on ranges, because a stand-in that went through
 /// single keys would exceed the time limit of a grant call.
--- a/crates/rack/tests/system/support/world.rs
+++ b/crates/rack/tests/system/support/world.rs
@@ -16,6 +16,7 @@
 use serde_json::Value;
 use tempfile::TempDir;
 
+use super::limits::Limits;
 use super::node_process::Lines;
 use super::node_process::NodeProcess;
 use super::node_process::keep_logs;
@@ -36,6 +37,8 @@
 
 /// Bandwidth that delays nothing, in Mbit/s.
 const FAST_LINK_MBPS: f64 = 1_000.0;
+/// Port of the metrics page in a world with limits.
+const METRICS_PORT: u16 = 8_303;
 
 /// A platform with its hosts.
 pub struct World {
@@ -50,6 +53,8 @@
     link_mbps: f64,
     /// Value of the setting `grants`: how servers are granted keys.
     grants: &'static str,
+    /// Limits other than the usual ones.
+    limits: Option<Limits>,
     /// Number of hosts ever added; their names and addresses are not reused.
     host_count: usize,
 }
@@ -77,27 +82,41 @@
 impl World {
     /// Starts hosts, each for one service; keys divide the service named `keyed`.
     pub async fn start(services: &[&str]) -> Self {
-        Self::start_with(services, FAST_LINK_MBPS, "heartbeat").await
+        Self::start_with(services, FAST_LINK_MBPS, "heartbeat", None).await
     }
 
     /// Starts hosts whose servers are granted keys by call.
     pub async fn start_by_call(services: &[&str]) -> Self {
-        Self::start_with(services, FAST_LINK_MBPS, "request").await
+        Self::start_with(services, FAST_LINK_MBPS, "request", None).await
     }
 
     /// Starts hosts with links of this bandwidth, in Mbit/s.
     pub async fn start_with_link(services: &[&str], link_mbps: f64) -> Self {
-        Self::start_with(services, link_mbps, "heartbeat").await
+        Self::start_with(services, link_mbps, "heartbeat", None).await
     }
 
-    async fn start_with(services: &[&str], link_mbps: f64, grants: &'static str) -> Self {
+    /// Starts hosts with these limits, each with a metrics page.
+    pub async fn start_with_limits(services: &[&str], limits: Limits) -> Self {
+        Self::start_with(services, FAST_LINK_MBPS, "heartbeat", Some(limits)).await
+    }
+
+    async fn start_with(
+        services: &[&str],
+        link_mbps: f64,
+        grants: &'static str,
+        limits: Option<Limits>,
+    ) -> Self {
         let subnet = format!(
             "127.{}.{}",
             1 + std::process::id() % 250,
             NEXT_SUBNET.fetch_add(1, Ordering::Relaxed)
         );
         let (store, _) = StandInStore::bind(&format!("{subnet}.200")).await;
-        store.write("config", &config(1, 1_000));
+        let first_config = match &limits {
+            Some(limits) => limits.config(&config(1, limits.timeout_ms)),
+            None => config(1, 1_000),
+        };
+        store.write("config", &first_config);
         let folder = tempfile::tempdir().unwrap();
         let mut world = Self {
             store,
@@ -108,6 +127,7 @@
             subnet,
             link_mbps,
             grants,
+            limits,
             host_count: 0,
         };
         for service in services {
@@ -146,6 +166,10 @@
             "grants = \"heartbeat\"",
             &format!("grants = {:?}", self.grants),
         );
+        let text = match &self.limits {
+            Some(limits) => limits.settings(&text),
+            None => text,
+        };
         let path = self.folder.path().join(format!("settings-{index}.toml"));
         fs::write(&path, text).unwrap();
         let plan = ServerPlan {
@@ -255,8 +279,10 @@
 
     /// Starts the router on a host.
     pub fn start_node(&mut self, index: usize) {
+        let metrics = ["--metrics".to_owned(), METRICS_PORT.to_string()];
+        let arguments: &[String] = if self.limits.is_some() { &metrics } else { &[] };
         let host = &mut self.hosts[index];
-        host.process = Some(NodeProcess::spawn(&host.settings, &[], &host.lines));
+        host.process = Some(NodeProcess::spawn(&host.settings, arguments, &host.lines));
     }
 
     /// Starts the router on a host with an output pipe that is never read.
@@ -451,6 +477,26 @@
         SocketAddr::new(self.clients.ip(), 7_620)
     }
 
+    /// Returns the address for requests from clients.
+    pub fn clients(&self) -> SocketAddr {
+        self.clients
+    }
+
+    /// Returns the address for questions whether the node is ready.
+    pub fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    /// Returns the address for heartbeats of the server.
+    pub fn control(&self) -> SocketAddr {
+        self.server.addresses().0
+    }
+
+    /// Returns the address of the metrics page in a world with limits.
+    pub fn metrics(&self) -> SocketAddr {
+        SocketAddr::new(self.clients.ip(), METRICS_PORT)
+    }
+
     pub fn process(&self) -> &NodeProcess {
         self.process.as_ref().unwrap()
     }
