rack: a request that may outlast its process isn't passed on late

Callers saw, in a planned stop: a request that was taken in time waited for its turn or for a second server, was passed on seconds after SIGTERM and got 502 at the end of the grace, while its server was at work; a request that may run once only among them.

Cause: the shutdown's clock was looked at once, when the body was whole. Nothing looked at it again when the request left the queue, was written to the server after a wait for the rate limit, or was sent once more.

A request whose deadline lies after the last responses isn't passed on in the second half of the grace: not from the ingress (first or again), not from the queue (those that wait are refused at that moment, not run), and not right before it is written. A request that ends in time is passed on as before.

--- a/crates/rack/src/shared/board.rs
+++ b/crates/rack/src/shared/board.rs
@@ -8,6 +8,8 @@
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::model::PlatformBounds;
+use quetzalrack_mesh::traffic::ShutdownTimes;
 use tokio::sync::Notify;
 
 use super::NodeView;
@@ -81,4 +83,10 @@
         let start_ns = self.shutdown_ns.load(Ordering::Acquire);
         (start_ns > 0).then_some(Moment(start_ns))
     }
+
+    /// Returns the moments of the shutdown if there is one.
+    pub fn shutdown_times(&self, bounds: &PlatformBounds) -> Option<ShutdownTimes> {
+        let since = self.shutdown_start()?;
+        Some(ShutdownTimes::new(since, bounds.shutdown_grace))
+    }
 }
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -26,6 +26,7 @@
 
 use super::admission_queue::AdmissionQueue;
 use super::server_client::ServerClient;
+use super::trials::poison_refusal;
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::shared::Board;
@@ -183,7 +184,14 @@
                 .borrow_mut()
                 .count(key, self.queue.service_time(&job.route));
         }
-        let mut slot = match self.acquire_slot(job).await {
+        let acquired = tokio::select! {
+            biased;
+            acquired = self.acquire_slot(job) => acquired,
+            () = self.wait_last_sending(job) => {
+                Err((RefusalReason::NodeAway, RETRY_AFTER_UNUSABLE))
+            }
+        };
+        let mut slot = match acquired {
             Ok(slot) => slot,
             Err((reason, retry_after)) => return Outcome::NotRun(reason, retry_after),
         };
@@ -196,7 +204,14 @@
         };
         let sent = clock::now();
         let run = self.begin_run(&server.incarnation, job);
-        let may_write = || !self.suspects.suspicion(&job.content).is_poison();
+        let refusal = || {
+            let is_poison = self.suspects.suspicion(&job.content).is_poison();
+            let late = self.shutdown_refusal(clock::now(), job);
+            match is_poison {
+                true => Some(poison_refusal(true)),
+                false => late.map(|reason| (reason, RETRY_AFTER_UNUSABLE)),
+            }
+        };
         let (outcome, feedback) = self
             .client
             .send(
@@ -204,7 +219,7 @@
                 &server.incarnation.id,
                 job,
                 self.queue.as_ref(),
-                &may_write,
+                &refusal,
             )
             .await;
         match outcome {
@@ -239,6 +254,9 @@
         job: &Job,
     ) -> Result<&'a ServerView, RefusalReason> {
         let server = view.server.as_ref().ok_or(RefusalReason::NoServer)?;
+        if let Some(reason) = self.shutdown_refusal(clock::now(), job) {
+            return Err(reason);
+        }
         if job.service != self.service {
             return Err(RefusalReason::NoServer);
         }
--- a/crates/rack/src/traffic/egress/mod.rs
+++ b/crates/rack/src/traffic/egress/mod.rs
@@ -10,6 +10,7 @@
 mod server_end;
 mod server_look;
 mod server_notices;
+mod shutdown;
 mod tracked_limiter;
 mod trials;
 
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -24,7 +24,6 @@
 use quetzalrack_platform::request::set_server_headers;
 
 use super::tracked_limiter::TrackedLimiter;
-use super::trials::poison_refusal;
 use crate::clock;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::LostReason;
@@ -134,14 +133,14 @@
         self.pool.opened_count()
     }
 
-    /// Sends a job and returns its outcome; `may_write` tells right before it is written whether it still may be.
+    /// Sends a job and returns its outcome; `refusal` tells right before it is written why it may not be any more.
     pub(super) async fn send(
         &self,
         address: SocketAddr,
         server: &ServerId,
         job: &Job,
         limiter: &dyn WriteLimiter,
-        may_write: &dyn Fn() -> bool,
+        refusal: &dyn Fn() -> Option<(RefusalReason, Duration)>,
     ) -> (Outcome, Feedback) {
         let now = clock::now();
         let timeout = job.deadline.since(now);
@@ -157,7 +156,7 @@
             let headers = ResponseHeaders::read(response.status(), response.headers());
             headers.id == job.id && !headers.closes
         };
-        let limiter = TrackedLimiter::new(limiter, may_write);
+        let limiter = TrackedLimiter::new(limiter, refusal);
         let reuse = Reuse {
             idle_limit: idle,
             tag: job
@@ -168,8 +167,7 @@
         let exchange = self.pool.exchange(address, request, reuse, &limiter, keep);
         let exchanged = tokio::select! {
             biased;
-            () = limiter.refused.notified() => {
-                let (reason, retry_after) = poison_refusal(true);
+            (reason, retry_after) = limiter.refused() => {
                 return (Outcome::NotRun(reason, retry_after), Feedback::default());
             }
             exchanged = tokio::time::timeout(timeout, exchange) => exchanged,
--- a/crates/rack/src/traffic/egress/tracked_limiter.rs
+++ b/crates/rack/src/traffic/egress/tracked_limiter.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use quetzalrack_mesh::traffic::RefusalReason;
 use tokio::sync::Notify;
 
 use crate::traffic::wire::WriteLimiter;
@@ -14,19 +15,34 @@
 /// sent.
 pub(super) struct TrackedLimiter<'a> {
     limiter: &'a dyn WriteLimiter,
-    may_write: &'a dyn Fn() -> bool,
+    refusal: &'a dyn Fn() -> Option<(RefusalReason, Duration)>,
     write_allowed: Cell<bool>,
-    /// Notified when the request must not be written any more.
-    pub(super) refused: Notify,
+    /// Why the request must not be written any more.
+    refused: Cell<Option<(RefusalReason, Duration)>>,
+    was_refused: Notify,
 }
 
 impl<'a> TrackedLimiter<'a> {
-    pub(super) fn new(limiter: &'a dyn WriteLimiter, may_write: &'a dyn Fn() -> bool) -> Self {
+    pub(super) fn new(
+        limiter: &'a dyn WriteLimiter,
+        refusal: &'a dyn Fn() -> Option<(RefusalReason, Duration)>,
+    ) -> Self {
         Self {
             limiter,
-            may_write,
+            refusal,
             write_allowed: Cell::default(),
-            refused: Notify::new(),
+            refused: Cell::default(),
+            was_refused: Notify::new(),
+        }
+    }
+
+    /// Waits until the request must not be written any more, and returns why and when to retry.
+    pub(super) async fn refused(&self) -> (RefusalReason, Duration) {
+        loop {
+            if let Some(refused) = self.refused.get() {
+                return refused;
+            }
+            self.was_refused.notified().await;
         }
     }
 
@@ -37,8 +53,9 @@
 
 impl WriteLimiter for TrackedLimiter<'_> {
     fn try_write(&self) -> Option<Duration> {
-        if !(self.may_write)() {
-            self.refused.notify_one();
+        if let Some(refused) = (self.refusal)() {
+            self.refused.set(Some(refused));
+            self.was_refused.notify_one();
             return Some(REFUSED_WAIT);
         }
         let wait = self.limiter.try_write();
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -195,6 +195,10 @@
             if incoming.deadline.since(now) < MIN_ATTEMPT_TIME {
                 break;
             }
+            if let Some(retry_after) = self.retry_after_wait(incoming) {
+                attempts.last_refusal = (RefusalReason::NodeAway, retry_after);
+                break;
+            }
             if let Suspicion::Poison { certain } = self.suspects.suspicion(&job.content) {
                 attempts.last_refusal = poison_refusal(certain);
                 break;
--- a/crates/rack/src/traffic/ingress/retrying.rs
+++ b/crates/rack/src/traffic/ingress/retrying.rs
@@ -152,7 +152,9 @@
         why: &str,
     ) -> bool {
         let in_time = incoming.deadline.since(clock::now()) >= MIN_ATTEMPT_TIME;
-        let allowed = attempts.sent_count < incoming.route.attempts && in_time;
+        let allowed = attempts.sent_count < incoming.route.attempts
+            && in_time
+            && self.retry_after_wait(incoming).is_none();
         let nodes = self.board.view().directory.members.len();
         let is_poison = self.suspects.suspicion(&incoming.job.content).is_poison();
         if !allowed
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -8,6 +8,7 @@
 
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::HostSettings;
+use quetzalrack_mesh::traffic::ShutdownTimes;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -29,14 +30,6 @@
 
 /// Interval between load reports to the control thread, which sends them with its heartbeats.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
-/// How long new client connections are accepted after SIGTERM: the platform checks readiness once a
-/// second and needs two failed checks.
-pub(super) const CLIENT_DRAIN_TIME: Duration = Duration::from_millis(2_300);
-/// How long after that requests of peers are accepted; peers learn within one heartbeat that this
-/// node is shutting down.
-const PEER_DRAIN_TIME: Duration = Duration::from_millis(500);
-/// Time that is left unused before SIGKILL.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
 /// How often a process that shuts down checks whether all requests are finished.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -173,19 +166,13 @@
     /// connection in use.
     async fn shut_down(&self, shutdown: &Shutdown) {
         let since = clock::now();
-        let end = since
-            + self
-                .settings
-                .host
-                .bounds
-                .shutdown_grace
-                .saturating_sub(SHUTDOWN_MARGIN);
-        wait_until(since + CLIENT_DRAIN_TIME).await;
+        let times = ShutdownTimes::new(since, self.settings.host.bounds.shutdown_grace);
+        wait_until(times.clients_closed()).await;
         // Sending fails only if every connection has ended.
         shutdown.close_clients.send(true).ok();
-        wait_until(since + CLIENT_DRAIN_TIME + PEER_DRAIN_TIME).await;
+        wait_until(times.peers_closed()).await;
         shutdown.egress.close();
-        while clock::now() < end && shutdown.is_busy() {
+        while clock::now() < times.end() && shutdown.is_busy() {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
         // From now on new connections are refused; none is accepted and then cut.
@@ -197,7 +184,7 @@
             // A connection that was accepted last is counted only after its task has first run.
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
             let busy = shutdown.is_busy() || shutdown.peer_connections.count() > 0;
-            if !busy || clock::now() >= end {
+            if !busy || clock::now() >= times.end() {
                 break;
             }
         }
--- /dev/null
+++ b/crates/rack/tests/system/late_requests.rs
@@ -0,0 +1,113 @@
+//! Requests that come, wait or run late in the grace period of a process that received SIGTERM.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use reqwest::StatusCode;
+
+use super::support::World;
+
+const START: Duration = Duration::from_secs(30);
+/// Time after SIGTERM by which a process of the tests' grace period has exited.
+const EXITED: Duration = Duration::from_secs(8);
+/// A service time that ends after the process.
+const ENDLESS: Duration = Duration::from_secs(9);
+/// How many requests a server of the tests serves at once.
+const SLOTS: usize = 10;
+
+/// Starts hosts with routes whose timeouts outlast the grace period.
+async fn started(services: &[&str]) -> World {
+    let world = World::start(services).await;
+    world.wait_until_served(START).await;
+    world.write_long_timeout_config(2);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world
+}
+
+/// Returns a request that may run once only; its deadline lies after the end of the process.
+fn post(id: &str, body: &str) -> String {
+    format!(
+        "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 15000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn first_line(answer: &str) -> &str {
+    answer.lines().next().unwrap_or_default()
+}
+
+async fn wait_for_runs(world: &World, ids: &[&str]) {
+    let started = Instant::now();
+    while ids.iter().any(|id| world.truth.runs(id).is_empty()) {
+        assert!(started.elapsed() < START, "not every request runs");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Guards against a request that is passed on late since its body was still being read when the port
+/// closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_body() {
+    let world = started(&["plain", "keyed"]).await;
+    world.hosts[0].server.set_service_time(ENDLESS);
+    let request = post("late", "0123456789");
+    let (first, rest) = request.split_at(request.len() - 5);
+    let answer = world.send_apart(0, first, Duration::from_millis(3_500), rest);
+    let terminate = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.terminate_node(0);
+    };
+    let (answer, ()) = tokio::join!(answer, terminate);
+    assert!(
+        first_line(&answer).starts_with("HTTP/1.1 503"),
+        "{answer:?}"
+    );
+    assert!(world.truth.runs("late").is_empty());
+}
+
+/// Guards against a request that waited for its turn, is passed on late and is cut at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_turn() {
+    let world = started(&["plain", "keyed"]).await;
+    world.hosts[0]
+        .server
+        .set_service_time(Duration::from_secs(4));
+    let ids: Vec<String> = (0..SLOTS).map(|number| format!("busy-{number}")).collect();
+    let busy = ids
+        .iter()
+        .map(|id| world.request_with_long_timeout(0, id, "/plain/1"));
+    let late = async {
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        wait_for_runs(&world, &ids).await;
+        let request = post("late", "body");
+        let pieces = [request.as_str()];
+        let answer = world.send_pieces(0, &pieces, EXITED);
+        let terminate = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            world.terminate_node(0);
+        };
+        tokio::join!(answer, terminate).0
+    };
+    let (busy, late) = tokio::join!(futures::future::join_all(busy), late);
+    assert_eq!(busy, vec![Some(StatusCode::OK); SLOTS]);
+    assert!(first_line(&late).starts_with("HTTP/1.1 503"), "{late:?}");
+    assert!(world.truth.runs("late").is_empty());
+}
+
+/// Guards against a request that is sent to a second server late and is cut there at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_retry() {
+    let world = started(&["plain", "plain", "keyed"]).await;
+    for host in &world.hosts[..2] {
+        host.server.set_service_time(Duration::from_secs(4));
+        host.server.drop_responses(true);
+    }
+    let request = world.request_with_long_timeout(0, "late", "/plain/1");
+    let terminate = async {
+        wait_for_runs(&world, &["late"]).await;
+        world.terminate_node(0);
+    };
+    let (status, ()) = tokio::join!(request, terminate);
+    assert_eq!(status, Some(StatusCode::BAD_GATEWAY));
+    assert_eq!(world.truth.runs("late").len(), 1);
+}
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -10,6 +10,7 @@
 mod ground_truth;
 mod growth;
 mod idle_connections;
+mod late_requests;
 mod leaving_servers;
 mod losses;
 mod named_limits;
--- a/crates/rack/tests/system/support/mod.rs
+++ b/crates/rack/tests/system/support/mod.rs
@@ -30,6 +30,7 @@
 pub use raw_answers::RawAnswer;
 pub use raw_answers::RawRecord;
 pub use raw_connection::ConnectionOutcome;
+pub use raw_connection::RawConnection;
 pub use stand_in_server::ServerPlan;
 pub use stand_in_server::StandInServer;
 pub use stand_in_server::echo_of;
--- a/crates/rack/tests/system/support/raw_connection.rs
+++ b/crates/rack/tests/system/support/raw_connection.rs
@@ -18,7 +18,39 @@
     Cut,
 }
 
+/// A client's connection on which raw text is written.
+pub struct RawConnection(TcpStream);
+
+impl RawConnection {
+    /// Writes a text.
+    pub async fn send(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Returns what is received until the connection ends, or within `stay`.
+    pub async fn read_to_end(&mut self, stay: Duration) -> String {
+        let mut text = Vec::new();
+        tokio::time::timeout(stay, self.0.read_to_end(&mut text))
+            .await
+            .ok();
+        String::from_utf8(text).unwrap()
+    }
+}
+
 impl World {
+    /// Opens a connection to a host's port for clients.
+    pub async fn open_connection(&self, index: usize) -> RawConnection {
+        RawConnection(TcpStream::connect(self.hosts[index].clients).await.unwrap())
+    }
+
+    /// Sends a text to a host's port for other nodes, and returns what is received within `stay`.
+    pub async fn send_to_peer_port(&self, index: usize, text: &str, stay: Duration) -> String {
+        let stream = TcpStream::connect(self.hosts[index].hops()).await.unwrap();
+        let mut connection = RawConnection(stream);
+        connection.send(text).await;
+        connection.read_to_end(stay).await
+    }
+
     /// Sends pipelined requests on one connection and closes it after `stay`.
     pub async fn send_and_close(&self, index: usize, sent: &[(&str, &str)], stay: Duration) {
         let _stream = self.send_pipelined(index, sent).await;
