rack: jobs of peers that may outlast the process aren't taken late

Callers of other nodes saw a request cut at the end of a planned stop while its server was at work (502; it may be one that runs once only).

Cause: for 2.8 s after SIGTERM a job of a peer was taken whatever its deadline, though the same request of a client was refused from 2.3 s on.

Both follow one rule now, ShutdownTimes: from 2.3 s on a job is taken only if its deadline lies before the last responses, from 2.8 s on none is. The peer hears "not run" and sends it elsewhere. The flag by which the traffic node closed the egress is gone, as the moments tell the same.

late_requests::late_peer_request was red in 1 of 1 run before (the job ran and had no answer when the test's second was over), green in 1 of 1 after.

--- a/crates/mesh/src/traffic/shutdown_times.rs
+++ b/crates/mesh/src/traffic/shutdown_times.rs
@@ -58,6 +58,11 @@
         now < self.clients_closed() || deadline <= self.last_response()
     }
 
+    /// Returns whether a request that a peer sends now is taken.
+    pub fn is_taken_from_peer(&self, now: Moment, deadline: Moment) -> bool {
+        now < self.peers_closed() && self.is_taken(now, deadline)
+    }
+
     /// Returns when a request that may outlast the process can no longer be passed on; `None` if it ends in
     /// time.
     pub fn last_sending(&self, deadline: Moment) -> Option<Moment> {
--- a/crates/mesh/tests/shutdown_times.rs
+++ b/crates/mesh/tests/shutdown_times.rs
@@ -22,6 +22,16 @@
     assert!(times.is_taken(at(5_000), at(5_400)));
 }
 
+/// Guards against requests of peers that outlast the process which took them.
+#[test]
+fn taken_from_peers() {
+    let times = times(6_000);
+    assert!(times.is_taken_from_peer(at(2_299), at(60_000)));
+    assert!(!times.is_taken_from_peer(at(2_300), at(5_401)));
+    assert!(times.is_taken_from_peer(at(2_799), at(5_400)));
+    assert!(!times.is_taken_from_peer(at(2_800), at(3_000)));
+}
+
 /// Guards against requests that are taken in time, are passed on late and outlast their process.
 #[test]
 fn sent_requests() {
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -66,7 +66,6 @@
     /// Notified when a response did not come in time.
     pub(super) timed_out: Notify,
     running: ActiveCounter,
-    closed: Cell<bool>,
 }
 
 impl Egress {
@@ -95,7 +94,6 @@
             suspects,
             timed_out: Notify::new(),
             running: ActiveCounter::default(),
-            closed: Cell::default(),
         });
         egress.queue.update(|admission| {
             admission.set_link(host.link);
@@ -140,15 +138,6 @@
         self.running.count()
     }
 
-    /// Refuses further jobs of other nodes.
-    pub(in crate::traffic) fn close(&self) {
-        self.closed.set(true);
-    }
-
-    pub(in crate::traffic) fn is_closed(&self) -> bool {
-        self.closed.get()
-    }
-
     /// Collects the load report for the control thread.
     pub(in crate::traffic) fn report(&self) -> TrafficReport {
         let view = self.board.view();
--- a/crates/rack/src/traffic/egress/shutdown.rs
+++ b/crates/rack/src/traffic/egress/shutdown.rs
@@ -13,6 +13,12 @@
         self.board.shutdown_times(&self.bounds)
     }
 
+    /// Returns whether a job of another node is taken.
+    pub(in crate::traffic) fn takes_peer_job(&self, job: &Job) -> bool {
+        self.shutdown_times()
+            .is_none_or(|times| times.is_taken_from_peer(clock::now(), job.deadline))
+    }
+
     /// Returns why a job that would still run when the process ends is not passed on any more.
     pub(super) fn shutdown_refusal(&self, now: Moment, job: &Job) -> Option<RefusalReason> {
         let times = self.shutdown_times()?;
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -101,12 +101,12 @@
             return Ok(bad_request());
         };
         let DecodedRequest { job, told, ends } = request;
-        let report = match self.board.is_shutting_down() && self.egress.is_closed() {
-            true => AttemptReport::new(Outcome::NotRun(
+        let report = match self.egress.takes_peer_job(&job) {
+            false => AttemptReport::new(Outcome::NotRun(
                 RefusalReason::NodeAway,
                 RETRY_AFTER_SHUTDOWN,
             )),
-            false => self.egress.serve_peer(&job, told.as_ref(), &ends).await,
+            true => self.egress.serve_peer(&job, told.as_ref(), &ends).await,
         };
         Ok(hop_response::encode(report))
     }
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -171,7 +171,6 @@
         // Sending fails only if every connection has ended.
         shutdown.close_clients.send(true).ok();
         wait_until(times.peers_closed()).await;
-        shutdown.egress.close();
         while clock::now() < times.end() && shutdown.is_busy() {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
--- a/crates/rack/tests/system/late_requests.rs
+++ b/crates/rack/tests/system/late_requests.rs
@@ -111,3 +111,23 @@
     assert_eq!(status, Some(StatusCode::BAD_GATEWAY));
     assert_eq!(world.truth.runs("late").len(), 1);
 }
+
+/// Guards against a request of another node that is passed on late and is cut at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_peer_request() {
+    let world = started(&["plain", "keyed"]).await;
+    world.hosts[0].server.set_service_time(ENDLESS);
+    let long_request = world.request_with_long_timeout(0, "long", "/plain/1");
+    let late = async {
+        wait_for_runs(&world, &["long"]).await;
+        world.terminate_node(0);
+        tokio::time::sleep(Duration::from_millis(2_450)).await;
+        let job = "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: late\r\nContent-Length: 0\r\nqr-job: plain keyed route-once 1 1 400 15000\r\n\r\n";
+        world
+            .send_to_peer_port(0, job, Duration::from_secs(1))
+            .await
+    };
+    let (_, late) = tokio::join!(long_request, late);
+    assert!(late.contains("node_away"), "{late:?}");
+    assert!(world.truth.runs("late").is_empty());
+}
