rack: a body that isn't whole at the end is refused, not cut

A client that was still sending its body when a planned stop ended saw its connection close without an answer, and couldn't tell that its request had not run.

Cause: nothing but the end of the process ended the reading of a body.

When the last responses are given, a request whose body isn't whole gets 503, as it was passed on to nobody.

--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -115,7 +115,12 @@
         let Some(config) = view.intent.config.clone() else {
             return not_run_response(RETRY_AFTER_NO_SERVER);
         };
-        let body = match incoming_request::read_body(body, &config).await {
+        let read = tokio::select! {
+            biased;
+            read = incoming_request::read_body(body, &config) => read,
+            () = self.wait_shutdown_deadline() => return self.refuse_unread(&route, arrived),
+        };
+        let body = match read {
             Ok(body) => body,
             Err(rejection) => return rejection.response(),
         };
--- a/crates/rack/src/traffic/ingress/shutdown.rs
+++ b/crates/rack/src/traffic/ingress/shutdown.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Response;
+use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::model::Route;
 use quetzalrack_mesh::traffic::ShutdownTimes;
 
 use super::Ingress;
+use super::client_response::not_run_response;
 use super::incoming_request::IncomingRequest;
 use crate::clock;
 
@@ -22,6 +27,17 @@
         is_late.then(|| times.retry_after(now))
     }
 
+    /// Refuses a request whose body is not whole when the process is about to end.
+    pub(super) fn refuse_unread(&self, route: &Route, arrived: Moment) -> Response<Bytes> {
+        let now = clock::now();
+        let retry_after = self.shutdown_times().map(|times| times.retry_after(now));
+        let response = not_run_response(retry_after.unwrap_or_default());
+        let (name, status) = (route.name.as_str(), response.status().as_u16());
+        log::info!(event = "body_unread", route = name, after_ms = now.since(arrived).as_millis() as u64; "");
+        self.metrics.answered(name, status, now.since(arrived));
+        response
+    }
+
     /// Returns when a client may retry if its request has waited so long that the process would end while
     /// the request may still run.
     pub(super) fn retry_after_wait(&self, incoming: &IncomingRequest) -> Option<Duration> {
--- a/crates/rack/tests/system/late_requests.rs
+++ b/crates/rack/tests/system/late_requests.rs
@@ -65,6 +65,25 @@
     assert!(world.truth.runs("late").is_empty());
 }
 
+/// Guards against a connection that is cut at the end without an answer while its request's body is read.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_body() {
+    let world = started(&["plain", "keyed"]).await;
+    let request = post("late", "0123456789");
+    let (first, _) = request.split_at(request.len() - 5);
+    let pieces = [first];
+    let answer = world.send_pieces(0, &pieces, EXITED);
+    let terminate = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.terminate_node(0);
+    };
+    let (answer, ()) = tokio::join!(answer, terminate);
+    assert!(
+        first_line(&answer).starts_with("HTTP/1.1 503"),
+        "{answer:?}"
+    );
+}
+
 /// Guards against a request that waited for its turn, is passed on late and is cut at the end.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_turn() {
