rack: pipelined requests that were passed on are answered after SIGTERM

A client that had sent several repeatable requests on one connection when its node got SIGTERM got the first response alone. It bore "Connection: close", and the connection ended, while the requests behind it ran at servers, or had run to their end.

Cause: requests behind the first are started as they arrive, but every response after SIGTERM closed the connection, as did the close of idle connections 2.3 s after it for one whose first response was still due.

While early requests of the connection wait for their response, no response closes it and the close of idle connections leaves it open; the last one closes it. After SIGTERM no request is started early any more, so those behind the closing response were passed on to nobody, and their client sends them again.

--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -80,6 +80,7 @@
         let (stream, disconnect) = WatchedStream::open(stream, move |bytes| scanner.scan(bytes));
         let stream = PacedStream::new(stream, self.pacer.clone());
         let (port, mut closing) = (self.clone(), self.closing.clone());
+        let early_watch = Rc::clone(&pipeline);
         let service = service_fn(move |request| port.clone().handle(Rc::clone(&pipeline), request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -105,6 +106,12 @@
                     () = head_watch.wait_first_request() => {}
                     () = tokio::time::sleep(FIRST_REQUEST_TIMEOUT) => {}
                 }
+                tokio::select! {
+                    biased;
+                    () = disconnect.wait() => return,
+                    _ = connection.as_mut() => return,
+                    () = early_watch.wait_early_requests() => {}
+                }
                 connection.as_mut().graceful_shutdown();
                 tokio::select! {
                     biased;
@@ -121,7 +128,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let mut response = pipeline.respond(request).await.map(Full::new);
-        if self.board.is_shutting_down() {
+        if self.board.is_shutting_down() && !pipeline.has_early_requests() {
             response
                 .headers_mut()
                 .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/rack/src/traffic/ingress/pipeline.rs
+++ b/crates/rack/src/traffic/ingress/pipeline.rs
@@ -37,6 +37,8 @@
     ingress: Rc<Ingress>,
     scanner: RefCell<RequestScanner>,
     early_requests: RefCell<BTreeMap<u64, EarlyRequest>>,
+    /// Notified when an early request was taken over.
+    early_taken: Notify,
     /// How many requests the HTTP library has passed on.
     received: Cell<u64>,
     first_received: Notify,
@@ -65,6 +67,7 @@
             ingress,
             scanner: RefCell::default(),
             early_requests: RefCell::default(),
+            early_taken: Notify::new(),
             received: Cell::default(),
             first_received: Notify::new(),
             answered: Cell::default(),
@@ -99,6 +102,19 @@
         }
     }
 
+    /// Returns whether requests were started that the HTTP library has not passed on yet. They may have been
+    /// passed on to servers, so the connection must not close before their responses.
+    pub(super) fn has_early_requests(&self) -> bool {
+        !self.early_requests.borrow().is_empty()
+    }
+
+    /// Waits until no such request is left.
+    pub(super) async fn wait_early_requests(&self) {
+        while self.has_early_requests() {
+            self.early_taken.notified().await;
+        }
+    }
+
     /// Waits until the client has taken longer than `limit` for one head and every earlier request
     /// is answered.
     ///
@@ -128,6 +144,7 @@
         self.first_received.notify_one();
         let (parts, body) = request.into_parts();
         let early = self.early_requests.borrow_mut().remove(&number);
+        self.early_taken.notify_one();
         let response = match early {
             Some(mut early) if is_same(&early.parts, &parts) => (&mut early.response).await.ok(),
             Some(_) => {
@@ -148,11 +165,12 @@
 
     /// Starts a request that would have to wait for earlier responses. Only requests that may be
     /// repeated are started: after a response that closes the connection, the client sends the
-    /// requests behind it again.
+    /// requests behind it again. None is started during shutdown, when responses close the connection.
     fn start_early(&self, head: ScannedHead) {
         let must_wait = head.number > self.answered.get();
         let has_room = self.early_requests.borrow().len() < MAX_EARLY_REQUESTS;
-        if !must_wait || !has_room || !self.ingress.is_repeatable(&head.parts) {
+        let closes = self.ingress.board.is_shutting_down();
+        if closes || !must_wait || !has_room || !self.ingress.is_repeatable(&head.parts) {
             return;
         }
         let (ingress, parts) = (Rc::clone(&self.ingress), head.parts.clone());
--- a/crates/rack/tests/system/late_requests.rs
+++ b/crates/rack/tests/system/late_requests.rs
@@ -24,6 +24,12 @@
     world
 }
 
+fn get(id: &str, deadline_ms: u32) -> String {
+    format!(
+        "GET /plain/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\r\n"
+    )
+}
+
 /// Returns a request that may run once only; its deadline lies after the end of the process.
 fn post(id: &str, body: &str) -> String {
     format!(
@@ -150,3 +156,56 @@
     assert!(late.contains("node_away"), "{late:?}");
     assert!(world.truth.runs("late").is_empty());
 }
+
+/// Sends pipelined requests with these service times, then SIGTERM once all run; returns the answers.
+async fn pipelined(service_times: &[Duration]) -> String {
+    let world = started(&["plain", "plain", "keyed"]).await;
+    let ids: Vec<String> = (0..service_times.len())
+        .map(|number| format!("piped-{number}"))
+        .collect();
+    let steps = ids.iter().zip(service_times).map(|(id, service_time)| {
+        let set = || {
+            for host in &world.hosts {
+                host.server.set_service_time(*service_time);
+            }
+        };
+        (get(id, 15_000), set)
+    });
+    let mut connection = world.open_connection(0).await;
+    for ((request, set), id) in steps.zip(&ids) {
+        set();
+        connection.send(&request).await;
+        wait_for_runs(&world, &[id]).await;
+    }
+    world.terminate_node(0);
+    connection.read_to_end(EXITED).await
+}
+
+/// Guards against pipelined requests that are passed on and get no answer: the response before them closes
+/// the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipeline() {
+    let answers = pipelined(&[Duration::from_millis(1_500); 3]).await;
+    assert_eq!(answers.matches("done by").count(), 3, "{answers}");
+    assert_eq!(
+        answers.to_lowercase().matches("connection: close").count(),
+        1,
+        "{answers}"
+    );
+}
+
+/// Guards against the same when the first response comes after idle connections are closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipeline_late() {
+    let answers = pipelined(&[Duration::from_millis(3_400); 3]).await;
+    assert_eq!(answers.matches("done by").count(), 3, "{answers}");
+}
+
+/// Guards against the same when the first request is still running at the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipeline_unfinished() {
+    let short = Duration::from_millis(100);
+    let answers = pipelined(&[ENDLESS, short, short]).await;
+    assert!(first_line(&answers).contains(" 502 "), "{answers}");
+    assert_eq!(answers.matches("done by").count(), 2, "{answers}");
+}
