rack: connections that are opened at the end of the grace are answered

Clients that connected in the last moments of a planned stop, while a long request kept the process until its end, saw their connection cut: those of the last 20 ms had no time to send their request.

Cause: connections were accepted until the very end of the process, which then waited for one poll interval alone. Its clock also began when the loop noticed SIGTERM, up to 0.2 s late.

The port is closed when the last responses are given, 0.6 s before SIGKILL, counted from SIGTERM; the connections accepted last have until the process ends for their first request, which is refused then. The end lies 0.3 s before SIGKILL by that clock; by the late one it lay 0.2 to 0.4 s before it.

late_requests::connections_until_end: clients that connect without a pause and send 50 ms later.

--- a/crates/mesh/src/traffic/shutdown_times.rs
+++ b/crates/mesh/src/traffic/shutdown_times.rs
@@ -10,10 +10,10 @@
 /// How long after that requests of peers are accepted; peers learn within one heartbeat that this
 /// node is shutting down.
 const PEER_DRAIN_TIME: Duration = Duration::from_millis(500);
-/// Time that is left unused before SIGKILL.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
-/// How long before SIGKILL the last responses are given: the process ends 0.4 s before it, and
-/// writing them takes a moment.
+/// How long before SIGKILL the process ends at the latest: its last steps take a moment.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(300);
+/// How long before SIGKILL the last responses are given and the port is closed: until the process ends,
+/// they are written, and connections that were opened last are answered.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(600);
 /// The part of the grace period after which a request that may outlast the process is not passed on any
 /// more: by then it has waited for longer than usual, and as much time is left for those that run.
@@ -42,7 +42,12 @@
         self.clients_closed() + PEER_DRAIN_TIME
     }
 
-    /// Returns when the last responses are given.
+    /// Returns the time since the shutdown started.
+    pub fn elapsed(&self, now: Moment) -> Duration {
+        now.since(self.since)
+    }
+
+    /// Returns when the last responses are given, and no more connections are accepted.
     pub fn last_response(&self) -> Moment {
         self.since + self.grace.saturating_sub(RESPONSE_MARGIN)
     }
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -8,7 +8,6 @@
 
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::HostSettings;
-use quetzalrack_mesh::traffic::ShutdownTimes;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
@@ -165,16 +164,18 @@
     /// Finishes the accepted requests: first stops serving clients, then peers, without cutting a
     /// connection in use.
     async fn shut_down(&self, shutdown: &Shutdown) {
-        let since = clock::now();
-        let times = ShutdownTimes::new(since, self.settings.host.bounds.shutdown_grace);
+        let Some(times) = self.board.shutdown_times(&self.settings.host.bounds) else {
+            return;
+        };
         wait_until(times.clients_closed()).await;
         // Sending fails only if every connection has ended.
         shutdown.close_clients.send(true).ok();
         wait_until(times.peers_closed()).await;
-        while clock::now() < times.end() && shutdown.is_busy() {
+        while clock::now() < times.last_response() && shutdown.is_busy() {
             tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
         }
-        // From now on new connections are refused; none is accepted and then cut.
+        // From now on new connections are refused; those accepted last have until the end for their
+        // first request and its response.
         shutdown.stop_accepting.send(true).ok();
         // Responses to peers may still wait for the link; each connection is closed after its
         // response.
@@ -190,7 +191,7 @@
         log::info!(
             event = "traffic_ends", clients = shutdown.ingress.running_count(),
             jobs = shutdown.egress.running_count(), connections = shutdown.client_connections.count(),
-            nodes = shutdown.peer_connections.count(), after_ms = clock::now().since(since).as_millis() as u64; ""
+            nodes = shutdown.peer_connections.count(), after_ms = times.elapsed(clock::now()).as_millis() as u64; ""
         );
     }
 }
--- a/crates/rack/tests/system/late_requests.rs
+++ b/crates/rack/tests/system/late_requests.rs
@@ -5,6 +5,7 @@
 
 use reqwest::StatusCode;
 
+use super::support::ConnectionOutcome;
 use super::support::World;
 
 const START: Duration = Duration::from_secs(30);
@@ -12,6 +13,8 @@
 const EXITED: Duration = Duration::from_secs(8);
 /// A service time that ends after the process.
 const ENDLESS: Duration = Duration::from_secs(9);
+/// How long a client may take from the opened connection to its first request.
+const CLIENT_PAUSE: Duration = Duration::from_millis(50);
 /// How many requests a server of the tests serves at once.
 const SLOTS: usize = 10;
 
@@ -209,3 +212,37 @@
     assert!(first_line(&answers).contains(" 502 "), "{answers}");
     assert_eq!(answers.matches("done by").count(), 2, "{answers}");
 }
+
+/// Guards against connections that are cut off because the time of their process is over: a client that
+/// connects until then, and sends its request a moment later, gets a response or is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_until_end() {
+    let world = started(&["plain", "plain", "keyed"]).await;
+    for host in &world.hosts {
+        host.server.set_service_time(ENDLESS);
+    }
+    let long_request = get("long", 20_000);
+    let mut long_connection = world.open_connection(0).await;
+    long_connection.send(&long_request).await;
+    wait_for_runs(&world, &["long"]).await;
+    for host in &world.hosts {
+        host.server.set_service_time(Duration::from_millis(30));
+    }
+    world.terminate_node(0);
+    let clients = (0..12).map(|number| {
+        let world = &world;
+        async move {
+            tokio::time::sleep(Duration::from_millis(5) * number).await;
+            loop {
+                let outcome = world.request_after_pause(0, "/plain/1", CLIENT_PAUSE).await;
+                if outcome != ConnectionOutcome::Answered {
+                    return outcome;
+                }
+            }
+        }
+    });
+    let last_outcomes = futures::future::join_all(clients).await;
+    assert_eq!(last_outcomes, vec![ConnectionOutcome::Refused; 12]);
+    let long = long_connection.read_to_end(EXITED).await;
+    assert!(first_line(&long).contains(" 502 "), "{long}");
+}
--- a/crates/rack/tests/system/support/raw_connection.rs
+++ b/crates/rack/tests/system/support/raw_connection.rs
@@ -86,9 +86,22 @@
 
     /// Sends a request on a new connection.
     pub async fn request_on_new_connection(&self, index: usize, path: &str) -> ConnectionOutcome {
+        self.request_after_pause(index, path, Duration::ZERO).await
+    }
+
+    /// Opens a connection, and sends a request on it after a pause.
+    pub async fn request_after_pause(
+        &self,
+        index: usize,
+        path: &str,
+        pause: Duration,
+    ) -> ConnectionOutcome {
         let Ok(mut stream) = TcpStream::connect(self.hosts[index].clients).await else {
             return ConnectionOutcome::Refused;
         };
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
         let request = format!(
             "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: anew\r\nX-Deadline-Ms: 1500\r\n\r\n"
         );
