rack: no connection is reset unread when the port is closed

Cause: closing a listening socket resets the connections in its queue. The queue was served until it was empty, but one more may come between the last accept and the close. shutdown(2) on a listener resets the queue too, and a backlog of 0 still holds one.

--- a/crates/rack/src/lib.rs
+++ b/crates/rack/src/lib.rs
@@ -4,7 +4,7 @@
 //! One thread runs the control state machine, another handles traffic; they share immutable views.
 //! See `docs/design/platform.md`.
 
-mod accept;
+pub mod accept;
 pub mod clock;
 pub mod command;
 pub mod control;
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -9,6 +9,7 @@
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::HostSettings;
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
 use super::egress::Egress;
@@ -133,7 +134,7 @@
             pacer: pacer.clone(),
             connections: shutdown.client_connections.clone(),
         };
-        tokio::task::spawn_local(port.run(clients, accepting_stopped));
+        let accepting = tokio::task::spawn_local(port.run(clients, accepting_stopped));
         let hop_server = HopServer {
             egress: Rc::clone(&egress),
             board: Arc::clone(&self.board),
@@ -157,13 +158,13 @@
             suspects.review();
             tokio::time::sleep(REPORT_INTERVAL).await;
         }
-        self.shut_down(&shutdown).await;
+        self.shut_down(&shutdown, accepting).await;
         Ok(())
     }
 
     /// Finishes the accepted requests: first stops serving clients, then peers, without cutting a
     /// connection in use.
-    async fn shut_down(&self, shutdown: &Shutdown) {
+    async fn shut_down(&self, shutdown: &Shutdown, accepting: JoinHandle<()>) {
         let Some(times) = self.board.shutdown_times(&self.settings.host.bounds) else {
             return;
         };
@@ -177,6 +178,8 @@
         // From now on new connections are refused; those accepted last have until the end for their
         // first request and its response.
         shutdown.stop_accepting.send(true).ok();
+        // It ends by itself within a moment.
+        accepting.await.ok();
         // Responses to peers may still wait for the link; each connection is closed after its
         // response.
         shutdown.close_peers.send(true).ok();
--- a/crates/rack/tests/system/main.rs
+++ b/crates/rack/tests/system/main.rs
@@ -3,6 +3,7 @@
 
 mod broken_answers;
 mod call_grants;
+mod closing_ports;
 mod cold_servers;
 mod explained;
 mod faults;
