mesh, rack: an end is not taken back by the word of the node's next process

Cause: where a node is killed with the request, its sender records the end, and takes it back once "that process" responds. Which process responded was read from the directory, which still names the one before for up to a second after the next one has started; so the next process's first response took the end back. Suspected until the new test showed it: nothing else takes such an end back earlier than after 3 s.

A process says in its responses to other nodes how old it is while it is younger than any loss that is remembered (about 10 bytes a response, for its first 70 s), and only one that ran when the request was sent takes the end back. `lost_hops::next_process_responds` fails without the comparison of the ages.

--- a/crates/mesh/src/traffic/suspects/lost_hops.rs
+++ b/crates/mesh/src/traffic/suspects/lost_hops.rs
@@ -13,6 +13,8 @@
 const MAX_LOST: usize = 256;
 /// How long one is remembered.
 const MEMORY_TIME: Duration = Duration::from_secs(60);
+/// Up to this age a process tells in its responses how old it is: older than any loss that is remembered.
+pub const MAX_AGE_TOLD: Duration = Duration::from_secs(70);
 /// How long after the loss the directory is asked whether the node lives: a leader takes that long to notice
 /// that it does not.
 const NOTICE_TIME: Duration = Duration::from_secs(3);
@@ -26,6 +28,8 @@
     pub nonce: u64,
     /// The server beside it.
     pub server: ServerIncarnation,
+    /// When it was sent there.
+    pub sent: Moment,
     /// When it was lost.
     pub at: Moment,
 }
@@ -59,23 +63,24 @@
         self.lost.push_back(lost);
     }
 
-    /// Records that a node has responded; returns the servers beside it that are not lost by this node's word.
+    /// Records that a process of a node has responded, and its age unless it runs for long; returns the servers
+    /// beside it that are not lost by its word. Only a process that ran when a request was sent there can tell what
+    /// became of it, and the directory may still name the one before.
     pub fn record_contact(
         &mut self,
+        now: Moment,
         node: &NodeName,
-        directory: &Directory,
+        age: Option<Duration>,
     ) -> Vec<ServerIncarnation> {
-        let Some(entry) = directory.members.get(node) else {
-            return Vec::new();
-        };
-        let nonce = entry.member.incarnation.nonce;
         let mut found = Vec::new();
         self.lost.retain(|lost| {
-            let is_same_process = lost.node == *node && lost.nonce == nonce;
-            if is_same_process {
+            if lost.node != *node {
+                return true;
+            }
+            if age.is_none_or(|age| now.since(lost.sent) <= age) {
                 found.push(lost.server.clone());
             }
-            !is_same_process
+            false
         });
         found
     }
--- a/crates/mesh/src/traffic/suspects/mod.rs
+++ b/crates/mesh/src/traffic/suspects/mod.rs
@@ -8,4 +8,5 @@
 
 pub use lost_hops::LostHop;
 pub use lost_hops::LostHops;
+pub use lost_hops::MAX_AGE_TOLD;
 pub use trial_nodes::trial_nodes;
--- a/crates/mesh/tests/lost_hops.rs
+++ b/crates/mesh/tests/lost_hops.rs
@@ -69,6 +69,7 @@
         node: name(),
         nonce: 1,
         server: server(1),
+        sent: at(0),
         at: at(0),
     });
     lost
@@ -87,12 +88,27 @@
 #[test]
 fn node_responds() {
     let (directory, mut lost) = (directory(1, 1, true), lost());
-    assert_eq!(lost.record_contact(&name(), &directory), vec![server(1)]);
+    assert_eq!(lost.record_contact(at(10), &name(), None), vec![server(1)]);
     let mut lost = self::lost();
     assert_eq!(lost.resolve(at(2_000), &directory), vec![]);
     assert_eq!(lost.resolve(at(3_000), &directory), vec![server(1)]);
 }
 
+/// Guards against an end that is taken back by the word of the next process of the node, which the directory does
+/// not list yet.
+#[test]
+fn next_process_responds() {
+    let age = |ms| Some(Duration::from_millis(ms));
+    let mut lost = lost();
+    assert_eq!(lost.record_contact(at(500), &name(), age(90)), vec![]);
+    assert_eq!(lost.resolve(at(5_000), &directory(1, 1, true)), vec![]);
+    let mut lost = self::lost();
+    assert_eq!(
+        lost.record_contact(at(500), &name(), age(501)),
+        vec![server(1)]
+    );
+}
+
 /// Guards against a node that is not back and counts as alive.
 #[test]
 fn node_gone() {
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -130,6 +130,7 @@
             owner,
             notice,
             ends: self.suspects.ends(&job.content),
+            age: None,
         }
     }
 
--- a/crates/rack/src/traffic/hop/hop_response.rs
+++ b/crates/rack/src/traffic/hop/hop_response.rs
@@ -11,6 +11,7 @@
 use quetzalrack_mesh::traffic::RefusalReason;
 
 use super::OUTCOME_HEADER;
+use super::age_field;
 use super::ends_field;
 use super::notice_field;
 use crate::traffic::outcome::AttemptReport;
@@ -43,7 +44,7 @@
         Outcome::Lost(reason) => (LOST, format!(" {reason}"), empty_response()),
     };
     let header = format!(
-        "{kind} {} {} {} {} {}{detail}{}{}",
+        "{kind} {} {} {} {} {}{detail}{}{}{}",
         load.requests,
         load.limit,
         load.slowdown_percent,
@@ -51,6 +52,7 @@
         load.backlog_ms,
         notice_field::encode(report.notice.as_ref()),
         ends_field::encode(&report.ends),
+        age_field::encode(report.age),
     );
     let mut response = response.map(Full::new);
     // All fields are plain ASCII.
@@ -100,6 +102,8 @@
             }
         } else if let Some(ends) = ends_field::decode(field) {
             report.ends = ends;
+        } else if let Some(age) = age_field::decode(field) {
+            report.age = Some(age);
         } else if let Ok(owner) = field.parse() {
             report.owner = Some(owner);
         }
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -101,13 +101,14 @@
             return Ok(bad_request());
         };
         let DecodedRequest { job, told, ends } = request;
-        let report = match self.egress.takes_peer_job(&job) {
+        let mut report = match self.egress.takes_peer_job(&job) {
             false => AttemptReport::new(Outcome::NotRun(
                 RefusalReason::NodeAway,
                 RETRY_AFTER_SHUTDOWN,
             )),
             true => self.egress.serve_peer(&job, told.as_ref(), &ends).await,
         };
+        report.age = self.suspects.age_to_tell();
         Ok(hop_response::encode(report))
     }
 
--- a/crates/rack/src/traffic/hop/mod.rs
+++ b/crates/rack/src/traffic/hop/mod.rs
@@ -1,6 +1,7 @@
 //! Requests between nodes: HTTP/1.1 over persistent connections, with one added header in each
 //! direction.
 
+mod age_field;
 mod ends_field;
 mod hop_client;
 mod hop_request;
--- a/crates/rack/src/traffic/ingress/attempt.rs
+++ b/crates/rack/src/traffic/ingress/attempt.rs
@@ -30,6 +30,7 @@
         self.balancer.borrow_mut().record_sent(node);
         let told = self.notices.borrow().get(node).cloned();
         let ends = self.suspects.ends(&job.content);
+        let sent = clock::now();
         let sent_as = self.suspects.suspicion(&job.content);
         let sending = self
             .hops
@@ -47,7 +48,8 @@
             let hops = Rc::clone(&self.hops);
             tokio::task::spawn_local(async move { hops.announce_intent_source(to, own).await });
         }
-        self.record_suspects(job, entry, &report, sent_as).await;
+        self.record_suspects(job, entry, &report, sent, sent_as)
+            .await;
         if let Some(notice) = report.notice.clone() {
             self.notices.borrow_mut().record(node, notice);
         }
--- a/crates/rack/src/traffic/ingress/suspect_reports.rs
+++ b/crates/rack/src/traffic/ingress/suspect_reports.rs
@@ -1,5 +1,6 @@
 //! What the outcome of an attempt tells of its content.
 
+use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_mesh::ownership::DirectoryEntry;
 use quetzalrack_mesh::traffic::suspects::LostHop;
@@ -12,20 +13,20 @@
 use crate::traffic::outcome::Outcome;
 
 impl Ingress {
-    /// Records what another node reports of a job's content, which was suspected so when the job was sent, or that
-    /// it reports nothing.
+    /// Records what another node reports of a job's content, which was suspected so when the job was sent at
+    /// `sent`, or that it reports nothing.
     pub(super) async fn record_suspects(
         &self,
         job: &Job,
         entry: &DirectoryEntry,
         report: &AttemptReport,
+        sent: Moment,
         sent_as: Suspicion,
     ) {
         self.suspects.merge_ends(job.content, &report.ends.list);
         let node = &entry.member.incarnation.node;
         if report.load.is_some() {
-            let view = self.board.view();
-            self.suspects.record_contact(node, &view.directory);
+            self.suspects.record_contact(node, report.age);
         }
         match (&report.outcome, &entry.member.server) {
             (Outcome::Answered(_), _) => self.suspects.record_answer_elsewhere(job.content),
@@ -37,6 +38,7 @@
                     node: node.clone(),
                     nonce: entry.member.incarnation.nonce,
                     server: server.incarnation.clone(),
+                    sent,
                     at: clock::now(),
                 };
                 let was_last_trial = sent_as.is_last_trial();
--- a/crates/rack/src/traffic/outcome.rs
+++ b/crates/rack/src/traffic/outcome.rs
@@ -44,6 +44,8 @@
     pub(super) notice: Option<ServerNotice>,
     /// The ends of servers under the job's content that the node knows.
     pub(super) ends: KnownEnds,
+    /// How old the process is that responded, unless it runs for long.
+    pub(super) age: Option<Duration>,
 }
 
 impl AttemptReport {
@@ -55,6 +57,7 @@
             owner: None,
             notice: None,
             ends: KnownEnds::default(),
+            age: None,
         }
     }
 }
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -18,9 +18,9 @@
 use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_core::traffic::poison::TrialVerdict;
 use quetzalrack_mesh::model::ServerIncarnation;
-use quetzalrack_mesh::ownership::Directory;
 use quetzalrack_mesh::traffic::suspects::LostHop;
 use quetzalrack_mesh::traffic::suspects::LostHops;
+use quetzalrack_mesh::traffic::suspects::MAX_AGE_TOLD;
 use tokio::sync::Notify;
 
 use crate::clock;
@@ -39,6 +39,7 @@
     node_name: NodeName,
     board: Arc<Board>,
     metrics: Arc<Metrics>,
+    started: Moment,
     tracker: RefCell<PoisonTracker>,
     lost_hops: RefCell<LostHops>,
     changed: Notify,
@@ -52,11 +53,13 @@
         board: Arc<Board>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let started = clock::now();
         Self {
             node_name,
             board,
             metrics,
-            tracker: RefCell::new(PoisonTracker::new(clock::now())),
+            started,
+            tracker: RefCell::new(PoisonTracker::new(started)),
             lost_hops: RefCell::default(),
             changed: Notify::new(),
             queued: Notify::new(),
@@ -173,12 +176,20 @@
         tracker.guard_mut().record_answer_elsewhere(content);
     }
 
-    /// Records that another node has responded.
-    pub(in crate::traffic) fn record_contact(&self, node: &NodeName, directory: &Directory) {
-        let alive = self.lost_hops.borrow_mut().record_contact(node, directory);
+    /// Records that a process of another node has responded, and its age unless it runs for long.
+    pub(in crate::traffic) fn record_contact(&self, node: &NodeName, age: Option<Duration>) {
+        let mut lost_hops = self.lost_hops.borrow_mut();
+        let alive = lost_hops.record_contact(clock::now(), node, age);
+        drop(lost_hops);
         self.retract(&alive);
     }
 
+    /// Returns how old this process is, unless it runs for long.
+    pub(in crate::traffic) fn age_to_tell(&self) -> Option<Duration> {
+        let age = clock::now().since(self.started);
+        (age < MAX_AGE_TOLD).then_some(age)
+    }
+
     /// Looks up which lost nodes are back, and forgets what is old.
     pub(in crate::traffic) fn review(&self) {
         let now = clock::now();
