core: popular content is not convicted by requests that were lost with nodes

Cause: after two servers had ended under another content with the popular one beside it, that one was tried at one server at a time. Its requests waited at nodes whose servers had ended and not come back; then these nodes were killed. Each sender recorded the loss under the server that the directory still named, which had ended long before, and a loss in that state counted in full. Two such losses and the two ends convicted it.

A loss now counts for nothing if the server is known to have ended before, or if the content is known to have been answered, by this node or by one beside a server that ended. `poison::lost_after_end` and `::lost_while_tried` fail on the code before.

--- a/crates/core/src/traffic/poison/poison_guard.rs
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -124,8 +124,8 @@
     /// whether that is news.
     ///
     /// Nodes are lost together, with popular content under way at each. So such a loss counts like the end of a
-    /// server under content that had been answered, and not at all if this one had; only that of a last trial
-    /// convicts.
+    /// server under content that had been answered, and not at all if this one had, nor if the server had ended
+    /// before: the request waited at the node for the next one. Only that of a last trial convicts.
     pub fn record_lost(
         &mut self,
         now: Moment,
@@ -133,7 +133,7 @@
         server: ServerLife,
         was_last_trial: bool,
     ) -> bool {
-        let is_excused = !was_last_trial && self.answered.contains(&content);
+        let is_excused = self.is_known_answered(&content) || self.table.has_ended(server);
         let answered_before = !was_last_trial;
         !is_excused
             && self
@@ -163,6 +163,13 @@
         self.table.expire(now);
     }
 
+    /// Returns whether this node or one beside a server that ended has seen a request of a content answered.
+    fn is_known_answered(&self, content: &ContentDigest) -> bool {
+        let mut ends = self.table.ends(content).iter();
+        let seen = ends.any(|end| end.answered_before && end.witness == Witness::Beside);
+        seen || self.answered.contains(content)
+    }
+
     /// Returns what is known of these contents.
     pub fn records(&self, contents: Vec<ContentDigest>) -> Vec<SuspectRecord> {
         let records = contents.iter().map(|content| self.table.record(content));
--- a/crates/core/src/traffic/poison/suspect_table.rs
+++ b/crates/core/src/traffic/poison/suspect_table.rs
@@ -154,6 +154,12 @@
         changed
     }
 
+    /// Returns whether the node beside a server has seen its end.
+    pub fn has_ended(&self, server: ServerLife) -> bool {
+        let mut ends = self.contents.values().flat_map(Suspect::standing);
+        ends.any(|end| end.server == server && end.witness == Witness::Beside)
+    }
+
     /// Merges what another node knows; returns whether that is news.
     pub fn merge(&mut self, now: Moment, content: ContentDigest, ends: &[ServerEnd]) -> bool {
         let mut changed = false;
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -349,3 +349,40 @@
     let convicted = Suspicion::Poison { certain: false };
     assert_eq!(guard.suspicion(at(9), &content("popular")), convicted);
 }
+
+/// Guards against the conviction of popular content by requests that waited at nodes whose servers had ended
+/// before, under another content, and that were lost with these nodes.
+#[test]
+fn lost_after_end() {
+    let mut guard = PoisonGuard::default();
+    for on in 1..=3 {
+        end_under(&mut guard, on, on, "guilty");
+        assert!(!guard.record_lost(at(4), content("popular"), server(on), true));
+    }
+    assert_eq!(guard.suspicion(at(9), &content("popular")), Suspicion::None);
+}
+
+/// Guards against the conviction of content that had been answered, as one node after the other is lost that tries
+/// it.
+#[test]
+fn lost_while_tried() {
+    let tried = Suspicion::Suspected { servers: 1 };
+    let mut beside = PoisonGuard::default();
+    let answered = begin(&mut beside, 0, 1, "popular");
+    beside.record_answer(at(1), answered);
+    for on in [1, 2] {
+        end_under(&mut beside, 2, on, "popular");
+    }
+    let known = beside.table().ends(&content("popular")).to_vec();
+    // One sender has seen it answered, the other has just started.
+    let mut long = PoisonGuard::default();
+    long.record_answer_elsewhere(content("popular"));
+    let new = PoisonGuard::default();
+    for mut sender in [long, new] {
+        sender.merge(at(3), content("popular"), &known);
+        for on in 3..=6 {
+            sender.record_lost(at(on), content("popular"), server(on), true);
+        }
+        assert_eq!(sender.suspicion(at(9), &content("popular")), tried);
+    }
+}
