core, rack, node: a process that has just started does not blame popular content

By reading, beside the trace of the commit before: what was answered before is known to each process alone. One that has just started takes the popular content under way at an ending server for one that was never answered, and three such ends refuse it everywhere for an hour, not the minute that popular content is refused for.

A node that has seen answers to a content records such an end anew as that of an answered content and tells the others, unless the content was on its last trial. A process that has learned from the recorded ends that a content was answered records its own ends so. `poison::ends_beside_new_processes` fails on the code before.

--- a/crates/core/src/traffic/poison/poison_guard.rs
+++ b/crates/core/src/traffic/poison/poison_guard.rs
@@ -113,7 +113,7 @@
         let ended = self.watch.end(now, server);
         for request in &ended {
             let content = request.content;
-            let answered_before = !request.is_last_trial && self.answered.contains(&content);
+            let answered_before = !request.is_last_trial && self.is_known_answered(&content);
             self.table
                 .record_end(now, content, server, Witness::Beside, answered_before);
         }
@@ -153,9 +153,26 @@
         self.records(changed)
     }
 
-    /// Merges what another node knows; returns whether that is news.
-    pub fn merge(&mut self, now: Moment, content: ContentDigest, ends: &[ServerEnd]) -> bool {
-        self.table.merge(now, content, ends)
+    /// Merges what another node knows; returns news for the other nodes.
+    ///
+    /// A process that has just started takes popular content for one that was never answered. Nodes that know
+    /// better put that right, except for the ends of last trials, which count in full.
+    pub fn merge(
+        &mut self,
+        now: Moment,
+        content: ContentDigest,
+        ends: &[ServerEnd],
+    ) -> Vec<SuspectRecord> {
+        let mut corrected = false;
+        for end in ends {
+            let before = self.table.suspicion(now, &content);
+            let is_in_full = before.is_last_trial() || before.is_poison();
+            let is_news = self.table.merge(now, content, &[*end]);
+            if is_news && !is_in_full && self.answered.contains(&content) {
+                corrected |= self.table.excuse(now, &content, end);
+            }
+        }
+        self.records(corrected.then_some(content).into_iter().collect())
     }
 
     /// Forgets what is old.
--- a/crates/core/src/traffic/poison/poison_tracker.rs
+++ b/crates/core/src/traffic/poison/poison_tracker.rs
@@ -8,6 +8,7 @@
 use super::PoisonGuard;
 use super::RunId;
 use super::RunningRequest;
+use super::ServerEnd;
 use super::ServerLife;
 use super::SuspectNews;
 use super::SuspectRecord;
@@ -95,6 +96,17 @@
         self.publish(now, CLEARING_DELAY, &news, others);
     }
 
+    /// Merges what another node knows, and tells the others if this node knows better.
+    pub fn merge<O>(&mut self, now: Moment, content: ContentDigest, ends: &[ServerEnd], others: O)
+    where
+        O: FnOnce() -> Vec<NodeName>,
+    {
+        let news = self.guard.merge(now, content, ends);
+        if !news.is_empty() {
+            self.publish(now, Duration::ZERO, &news, &others());
+        }
+    }
+
     /// Queues news of another node for those to which it is to be passed on.
     pub fn relay(&mut self, now: Moment, news: &SuspectNews) {
         let contents: Vec<ContentDigest> =
--- a/crates/core/src/traffic/poison/suspect_table.rs
+++ b/crates/core/src/traffic/poison/suspect_table.rs
@@ -154,6 +154,18 @@
         changed
     }
 
+    /// Records that a content had been answered before this end, which the node beside the server did not know;
+    /// returns whether that is new.
+    pub fn excuse(&mut self, now: Moment, content: &ContentDigest, end: &ServerEnd) -> bool {
+        let is_blamed = end.is_standing() && !end.answered_before && end.witness == Witness::Beside;
+        let excused = ServerEnd {
+            round: end.round.saturating_add(2),
+            answered_before: true,
+            ..*end
+        };
+        is_blamed && self.merge_end(now, *content, excused)
+    }
+
     /// Returns whether the node beside a server has seen its end.
     pub fn has_ended(&self, server: ServerLife) -> bool {
         let mut ends = self.contents.values().flat_map(Suspect::standing);
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -386,3 +386,35 @@
         assert_eq!(sender.suspicion(at(9), &content("popular")), tried);
     }
 }
+
+/// Guards against the conviction of popular content by nodes that have just started and seen no answer to it.
+#[test]
+fn ends_beside_new_processes() {
+    let mut long = PoisonGuard::default();
+    long.record_answer_elsewhere(content("popular"));
+    let tried = Suspicion::Suspected { servers: 1 };
+    for on in 1..=3 {
+        let mut new = PoisonGuard::default();
+        end_under(&mut new, on, on, "popular");
+        let ends = new.table().ends(&content("popular")).to_vec();
+        long.merge(at(on), content("popular"), &ends);
+        // What it has put right reaches those that were told otherwise.
+        new.merge(
+            at(on),
+            content("popular"),
+            long.table().ends(&content("popular")),
+        );
+        let expected = match on {
+            1 => Suspicion::None,
+            _ => tried,
+        };
+        for guard in [&long, &new] {
+            assert_eq!(guard.suspicion(at(9), &content("popular")), expected);
+        }
+    }
+    // While it is tried, ends count as before.
+    for on in 4..=5 {
+        end_under(&mut long, on, on, "popular");
+    }
+    assert!(long.suspicion(at(9), &content("popular")).is_poison());
+}
--- a/crates/node/src/traffic/suspects/known_suspects.rs
+++ b/crates/node/src/traffic/suspects/known_suspects.rs
@@ -146,7 +146,8 @@
     /// Merges what a node says that sends a request, or that has refused one.
     pub(in crate::traffic) fn merge_ends(&self, content: &ContentDigest, ends: &[ServerEnd]) {
         if !ends.is_empty() {
-            self.update(|now, tracker| tracker.guard_mut().merge(now, *content, ends));
+            let others = || self.others();
+            self.update(|now, tracker| tracker.merge(now, *content, ends, others));
         }
     }
 
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -205,7 +205,8 @@
     /// Merges what a node says that sends a request, or that has refused one.
     pub(in crate::traffic) fn merge_ends(&self, content: ContentDigest, ends: &[ServerEnd]) {
         if !ends.is_empty() {
-            self.update(|tracker| tracker.guard_mut().merge(clock::now(), content, ends));
+            let others = || self.others();
+            self.update(|tracker| tracker.merge(clock::now(), content, ends, others));
         }
     }
 
