rack/tests: the accept queue is filled once the process has stopped

Traced: SIGSTOP waits for the main thread, which has to be scheduled to take it; until then the other threads go on, and one of them accepts connections.

The check stays as it was; the set-up waits until no thread of the process runs.

--- a/crates/rack/tests/system/full_queue.rs
+++ b/crates/rack/tests/system/full_queue.rs
@@ -44,7 +44,7 @@
     let request = world.request_with_long_timeout(0, "long", "/plain/1");
     let pause = async {
         tokio::time::sleep(Duration::from_millis(300)).await;
-        world.hosts[busy].process().signal(Signal::STOP);
+        world.hosts[busy].process().stop();
         let queue = fill_accept_queue(&world, busy).await;
         tokio::time::sleep(PAUSE - CONNECT_TIMEOUT).await;
         world.hosts[busy].process().signal(Signal::CONT);
--- a/crates/rack/tests/system/support/node_process.rs
+++ b/crates/rack/tests/system/support/node_process.rs
@@ -11,12 +11,16 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
+use std::time::Duration;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use serde_json::Value;
 
+/// How often a process is looked at that is to stop.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Lines logged by the successive processes of a host.
 pub type Lines = Arc<Mutex<Vec<Value>>>;
 
@@ -79,6 +83,25 @@
         kill_process(id, signal).unwrap();
     }
 
+    /// Stops the process and waits until none of its threads runs: until its main thread has been scheduled to take
+    /// the signal, the others go on and accept connections.
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+        while !self.is_stopped() {
+            thread::sleep(STOP_POLL_INTERVAL);
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.id())).unwrap();
+        threads.flatten().all(|entry| {
+            // The state follows the name, which is in parentheses; a thread that has just ended has none.
+            let stat = fs::read_to_string(entry.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit(") ").next();
+            state.is_none_or(|state| state.starts_with('T') || state.is_empty())
+        })
+    }
+
     /// Returns the largest memory that the process has used, in bytes.
     pub fn peak_memory(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
