mesh, core, rack: ends are told to nodes that a new leader does not list yet

Cause: a node told and asked those that its leader lists. A leader that has just taken over lists those that it has heard, and the others replace their tables by its list; a process that has just started has no list until a leader has it.

`KnownNodes` remembers who was listed for 60 s and reads the voters of the leader's record, so a process asks them as soon as it has read the record. A process that is seen for the first time is told all that is known. A process goes on after two answers, or one and 100 ms, since the first to answer may have been cut off when ends were told.

--- a/crates/core/src/traffic/poison/news_outbox.rs
+++ b/crates/core/src/traffic/poison/news_outbox.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// Queues everything that is known for these nodes.
+    pub fn push_all(&mut self, now: Moment, nodes: &[NodeName]) {
+        for node in nodes {
+            self.push_one(now, now, None::<[ContentDigest; 0]>, node, &[]);
+        }
+    }
+
     /// Returns the letters that are due.
     pub fn take_due(&mut self, now: Moment) -> Vec<NewsLetter> {
         self.pending
--- a/crates/core/src/traffic/poison/poison_tracker.rs
+++ b/crates/core/src/traffic/poison/poison_tracker.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Tells nodes with a process that was not known before all that is known. It may have asked others.
+    pub fn tell_all(&mut self, now: Moment, nodes: &[NodeName]) {
+        if !self.guard.table().is_empty() {
+            self.outbox.push_all(now, nodes);
+        }
+    }
+
     /// Queues news of another node for those to which it is to be passed on.
     pub fn relay(&mut self, now: Moment, news: &SuspectNews) {
         let contents: Vec<ContentDigest> =
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -253,7 +253,7 @@
     let mut query = PeerQuery::new(at(0));
     let mut asked = Vec::new();
     while let Some((node, _)) = query.next(own, others) {
-        query.record_answer(&node, node == others[2]);
+        query.record_answer(at(1), &node, node == others[2]);
         asked.push(node);
     }
     assert_eq!(asked[..3], *others);
@@ -276,7 +276,7 @@
             !query.is_fleet_uninformed(own, &ran_before),
             "without {node}"
         );
-        query.record_answer(node, false);
+        query.record_answer(at(1), node, false);
     }
     assert!(query.is_fleet_uninformed(own, &ran_before));
 }
@@ -418,3 +418,27 @@
     }
     assert!(long.suspicion(at(9), &content("popular")).is_poison());
 }
+
+/// Guards against a process that takes what one node knows for all, though that one was cut off when the others heard of
+/// the latest ends.
+#[test]
+fn second_answer() {
+    let others = nodes(4);
+    let (own, others) = (&others[0], &others[1..]);
+    let ask_all = || {
+        let mut query = PeerQuery::new(at(0));
+        while query.next(own, others).is_some() {}
+        query.record_answer(at(1), &others[0], true);
+        assert!(!query.is_informed(at(2)));
+        query
+    };
+    let mut query = ask_all();
+    query.record_answer(at(3), &others[2], true);
+    assert!(query.is_informed(at(3)));
+    let mut query = ask_all();
+    query.record_answer(at(3), &others[1], false);
+    assert!(!query.is_informed(at(3)));
+    query.record_silence(&others[2]);
+    assert!(query.is_informed(at(4)));
+    assert!(ask_all().is_informed(at(101)));
+}
--- a/crates/mesh/src/ownership/node_machine/leader_change.rs
+++ b/crates/mesh/src/ownership/node_machine/leader_change.rs
@@ -251,7 +251,8 @@
     /// the leader stops refreshing its record.
     pub(super) fn follow(&mut self, now: Moment, record: LeaderRecord, actions: &mut Vec<Action>) {
         if now.since(self.started) < EARLY_TIME {
-            let voters = record.voters.iter().map(|voter| voter.node.clone());
+            let voters = record.voters.iter();
+            let voters = voters.map(|voter| (voter.node.clone(), voter.control));
             Arc::make_mut(&mut self.early_voters).extend(voters);
         }
         let epoch = record.epoch;
--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -13,7 +13,7 @@
 pub use log_entry::LogEntry;
 pub use node_profile::NodeProfile;
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -64,8 +64,8 @@
     /// When the last reply of an earlier leader arrived. Initially the start of this process, since the
     /// process before it may have applied replies until then.
     prior_reply: Moment,
-    /// The voters of all records seen in this process's first seconds.
-    early_voters: Arc<BTreeSet<NodeName>>,
+    /// The voters of all records seen in this process's first seconds, and where they receive datagrams.
+    early_voters: Arc<BTreeMap<NodeName, SocketAddr>>,
     /// The newest epoch in which this process has stood down.
     ended_epoch: Epoch,
     directory: Directory,
@@ -222,8 +222,9 @@
         self.heartbeat_due
     }
 
-    /// Returns the voters of all records seen in this process's first seconds: the nodes that ran before it.
-    pub fn early_voters(&self) -> Arc<BTreeSet<NodeName>> {
+    /// Returns the voters of all records seen in this process's first seconds, and where they receive datagrams: the
+    /// nodes that ran before it.
+    pub fn early_voters(&self) -> Arc<BTreeMap<NodeName, SocketAddr>> {
         Arc::clone(&self.early_voters)
     }
 
--- a/crates/mesh/src/traffic/suspects/mod.rs
+++ b/crates/mesh/src/traffic/suspects/mod.rs
@@ -3,9 +3,11 @@
 //!
 //! See `docs/design/poison-requests.md`.
 
+mod known_nodes;
 mod lost_hops;
 mod trial_nodes;
 
+pub use known_nodes::KnownNodes;
 pub use lost_hops::LostHop;
 pub use lost_hops::LostHops;
 pub use lost_hops::MAX_AGE_TOLD;
--- a/crates/node/src/traffic/suspects/exchange.rs
+++ b/crates/node/src/traffic/suspects/exchange.rs
@@ -80,12 +80,14 @@
             continue;
         };
         tokio::time::sleep(wait).await;
-        if let Some(news) = link.ask(address).await {
-            suspects.receive(&news);
-            query.record_answer(&address, news.informed);
-            if news.informed {
-                suspects.set_informed();
-            }
+        let Some(news) = link.ask(address).await else {
+            query.record_silence(&address);
+            continue;
+        };
+        suspects.receive(&news);
+        query.record_answer(clock.now(), &address, news.informed);
+        if news.informed {
+            suspects.set_informed();
         }
     }
 }
--- a/crates/rack/src/shared/node_view.rs
+++ b/crates/rack/src/shared/node_view.rs
@@ -1,6 +1,7 @@
 //! View of the control state for the traffic thread.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use quetzalrack_core::ids::NodeName;
@@ -25,8 +26,8 @@
     pub routes: Option<Arc<RouteTable>>,
     /// The backend server beside the node, if one is usable.
     pub server: Option<ServerView>,
-    /// All nodes that leaders have named as voters since this process started.
-    pub voters: Arc<BTreeSet<NodeName>>,
+    /// The nodes that leaders named as voters when this process started, and their addresses.
+    pub voters: Arc<BTreeMap<NodeName, SocketAddr>>,
     /// Whether the node is shutting down.
     pub shutting_down: bool,
 }
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -1,6 +1,7 @@
 //! The suspected contents as the traffic thread sees them.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,6 +19,8 @@
 use quetzalrack_core::traffic::poison::Suspicion;
 use quetzalrack_core::traffic::poison::TrialVerdict;
 use quetzalrack_mesh::model::ServerIncarnation;
+use quetzalrack_mesh::ownership::Directory;
+use quetzalrack_mesh::traffic::suspects::KnownNodes;
 use quetzalrack_mesh::traffic::suspects::LostHop;
 use quetzalrack_mesh::traffic::suspects::LostHops;
 use quetzalrack_mesh::traffic::suspects::MAX_AGE_TOLD;
@@ -36,11 +39,15 @@
 
 /// Shared by the requests of this node's clients and those for the server beside it.
 pub(in crate::traffic) struct Suspects {
-    node_name: NodeName,
     board: Arc<Board>,
     metrics: Arc<Metrics>,
     started: Moment,
     tracker: RefCell<PoisonTracker>,
+    nodes: RefCell<KnownNodes>,
+    /// The table from which the other nodes were recorded last.
+    directory: RefCell<Option<Arc<Directory>>>,
+    /// The nodes with a process that is still to be told what this one knows.
+    appeared: RefCell<Vec<NodeName>>,
     lost_hops: RefCell<LostHops>,
     changed: Notify,
     queued: Notify,
@@ -55,7 +62,9 @@
     ) -> Self {
         let started = clock::now();
         Self {
-            node_name,
+            nodes: RefCell::new(KnownNodes::new(node_name)),
+            directory: RefCell::default(),
+            appeared: RefCell::default(),
             board,
             metrics,
             started,
@@ -196,9 +205,10 @@
         let view = self.board.view();
         let alive = self.lost_hops.borrow_mut().resolve(now, &view.directory);
         self.retract(&alive);
-        let members = &view.directory.members;
+        self.tell_appeared();
+        let is_known = |node: &NodeName| self.address_of(node).is_some();
         let mut tracker = self.tracker.borrow_mut();
-        tracker.review(now, |node| members.contains_key(node));
+        tracker.review(now, is_known);
         self.metrics.set_suspects(tracker.guard().table().len());
     }
 
@@ -296,14 +306,38 @@
         }
     }
 
-    /// Returns the other nodes, beginning after this node's name, so that not every node has the same others pass
-    /// its news on.
-    fn others(&self) -> Vec<NodeName> {
+    /// Returns the other nodes.
+    pub(super) fn others(&self) -> Vec<NodeName> {
+        self.with_nodes(KnownNodes::others)
+    }
+
+    /// Returns where a node receives requests from other nodes.
+    pub(super) fn address_of(&self, node: &NodeName) -> Option<SocketAddr> {
+        self.with_nodes(|nodes| nodes.address_of(node))
+    }
+
+    /// Reads the other nodes once what the control thread has listed meanwhile is recorded.
+    fn with_nodes<R, T>(&self, read: R) -> T
+    where
+        R: FnOnce(&KnownNodes) -> T,
+    {
         let view = self.board.view();
-        let members = &view.directory.members;
-        let after = members.keys().filter(|node| **node > self.node_name);
-        let before = members.keys().filter(|node| **node < self.node_name);
-        after.chain(before).cloned().collect()
+        let mut nodes = self.nodes.borrow_mut();
+        let earlier = self.directory.replace(Some(Arc::clone(&view.directory)));
+        if earlier.is_none_or(|earlier| !Arc::ptr_eq(&earlier, &view.directory)) {
+            let appeared = nodes.record(clock::now(), &view.directory, &view.voters);
+            self.appeared.borrow_mut().extend(appeared);
+        }
+        read(&nodes)
+    }
+
+    /// Tells processes that have appeared what this one knows.
+    fn tell_appeared(&self) {
+        self.with_nodes(|_| ());
+        let appeared = self.appeared.take();
+        if !appeared.is_empty() {
+            self.update(|tracker| tracker.tell_all(clock::now(), &appeared));
+        }
     }
 
     /// Returns the other nodes if there may be anything to tell them.
