mesh, rack: an end is not taken back by the table of a leader that has ended

Cause: three seconds after a request was lost with its node, the sender took the end back if the table of nodes still listed the node's process as responsive. While no leader responds that table stays as it is, and the node's process had been killed all the same.

The table now counts once the leader has confirmed it 3 s after the loss or later, and not while it is an earlier leader's. `lost_hops::no_leader` fails with the earlier rule.

--- a/crates/mesh/src/ownership/node_machine/mod.rs
+++ b/crates/mesh/src/ownership/node_machine/mod.rs
@@ -228,6 +228,13 @@
         Arc::clone(&self.early_voters)
     }
 
+    /// Returns when the leader that the node follows last confirmed the table of members; none if that table is
+    /// still an earlier leader's.
+    pub fn members_confirmed(&self) -> Option<Moment> {
+        let is_current = self.directory.members_version > 0;
+        self.followed.as_ref().filter(|_| is_current)?.reply_at
+    }
+
     /// Tells whether this node is the leader.
     pub fn is_leader(&self) -> bool {
         self.leader.is_some()
--- a/crates/mesh/src/traffic/suspects/lost_hops.rs
+++ b/crates/mesh/src/traffic/suspects/lost_hops.rs
@@ -15,8 +15,8 @@
 const MEMORY_TIME: Duration = Duration::from_secs(60);
 /// Up to this age a process tells in its responses how old it is: older than any loss that is remembered.
 pub const MAX_AGE_TOLD: Duration = Duration::from_secs(70);
-/// How long after the loss the directory is asked whether the node lives: a leader takes that long to notice
-/// that it does not.
+/// How long after the loss the leader's word counts that the node lives: it takes that long to notice that it does
+/// not.
 const NOTICE_TIME: Duration = Duration::from_secs(3);
 
 /// A request that was lost with a node, which then could not say whether its server ended.
@@ -85,27 +85,36 @@
         found
     }
 
-    /// Looks the lost nodes up in the directory; returns the servers beside those whose processes went on.
-    pub fn resolve(&mut self, now: Moment, directory: &Directory) -> Vec<ServerIncarnation> {
+    /// Looks the lost nodes up in the directory, which the leader confirmed at `confirmed`; returns the servers beside
+    /// those whose processes went on.
+    pub fn resolve(
+        &mut self,
+        now: Moment,
+        directory: &Directory,
+        confirmed: Option<Moment>,
+    ) -> Vec<ServerIncarnation> {
         let mut found = Vec::new();
-        self.lost.retain(|lost| match fate(now, lost, directory) {
-            Fate::Unknown => now.since(lost.at) < MEMORY_TIME,
-            Fate::Ended => false,
-            Fate::NotLost => {
-                found.push(lost.server.clone());
-                false
-            }
-        });
+        self.lost
+            .retain(|lost| match fate(lost, directory, confirmed) {
+                Fate::Unknown => now.since(lost.at) < MEMORY_TIME,
+                Fate::Ended => false,
+                Fate::NotLost => {
+                    found.push(lost.server.clone());
+                    false
+                }
+            });
         found
     }
 }
 
-fn fate(now: Moment, lost: &LostHop, directory: &Directory) -> Fate {
+fn fate(lost: &LostHop, directory: &Directory, confirmed: Option<Moment>) -> Fate {
     let Some(entry) = directory.members.get(&lost.node) else {
         return Fate::Unknown;
     };
     let is_same_process = entry.member.incarnation.nonce == lost.nonce;
-    let is_alive = entry.responsive && now.since(lost.at) >= NOTICE_TIME;
+    // While no leader responds, the directory goes on listing a process that has ended.
+    let is_noticed = confirmed.is_some_and(|at| at >= lost.at + NOTICE_TIME);
+    let is_alive = entry.responsive && is_noticed;
     match (is_same_process, is_alive) {
         (false, _) => Fate::Ended,
         (true, true) => Fate::NotLost,
--- a/crates/mesh/tests/lost_hops.rs
+++ b/crates/mesh/tests/lost_hops.rs
@@ -79,9 +79,18 @@
 #[test]
 fn process_ended() {
     let mut lost = lost();
-    assert_eq!(lost.resolve(at(10), &directory(1, 1, true)), vec![]);
-    assert_eq!(lost.resolve(at(500), &directory(2, 1, true)), vec![]);
-    assert_eq!(lost.resolve(at(5_000), &directory(2, 1, true)), vec![]);
+    assert_eq!(
+        lost.resolve(at(10), &directory(1, 1, true), Some(at(10))),
+        vec![]
+    );
+    assert_eq!(
+        lost.resolve(at(500), &directory(2, 1, true), Some(at(500))),
+        vec![]
+    );
+    assert_eq!(
+        lost.resolve(at(5_000), &directory(2, 1, true), Some(at(5_000))),
+        vec![]
+    );
 }
 
 /// Guards against a server that counts as ended since the way to its node was cut for a while.
@@ -90,8 +99,11 @@
     let (directory, mut lost) = (directory(1, 1, true), lost());
     assert_eq!(lost.record_contact(at(10), &name(), None), vec![server(1)]);
     let mut lost = self::lost();
-    assert_eq!(lost.resolve(at(2_000), &directory), vec![]);
-    assert_eq!(lost.resolve(at(3_000), &directory), vec![server(1)]);
+    assert_eq!(lost.resolve(at(2_000), &directory, Some(at(2_000))), vec![]);
+    assert_eq!(
+        lost.resolve(at(3_000), &directory, Some(at(3_000))),
+        vec![server(1)]
+    );
 }
 
 /// Guards against an end that is taken back by the word of the next process of the node, which the directory does
@@ -101,7 +113,10 @@
     let age = |ms| Some(Duration::from_millis(ms));
     let mut lost = lost();
     assert_eq!(lost.record_contact(at(500), &name(), age(90)), vec![]);
-    assert_eq!(lost.resolve(at(5_000), &directory(1, 1, true)), vec![]);
+    assert_eq!(
+        lost.resolve(at(5_000), &directory(1, 1, true), Some(at(5_000))),
+        vec![]
+    );
     let mut lost = self::lost();
     assert_eq!(
         lost.record_contact(at(500), &name(), age(501)),
@@ -109,15 +124,38 @@
     );
 }
 
+/// Guards against an end that is taken back by the table of a leader that has ended as well, in which the process of
+/// the node before its end is still listed.
+#[test]
+fn no_leader() {
+    let directory = directory(1, 1, true);
+    for confirmed in [None, Some(at(0)), Some(at(2_999))] {
+        let mut lost = lost();
+        assert_eq!(lost.resolve(at(5_000), &directory, confirmed), vec![]);
+    }
+}
+
 /// Guards against a node that is not back and counts as alive.
 #[test]
 fn node_gone() {
     let mut lost = lost();
     for ms in [500, 5_000, 30_000] {
-        assert_eq!(lost.resolve(at(ms), &directory(1, 1, false)), vec![]);
-        assert_eq!(lost.resolve(at(ms), &Directory::default()), vec![]);
+        assert_eq!(
+            lost.resolve(at(ms), &directory(1, 1, false), Some(at(ms))),
+            vec![]
+        );
+        assert_eq!(
+            lost.resolve(at(ms), &Directory::default(), Some(at(ms))),
+            vec![]
+        );
     }
     let long = at(0) + Duration::from_secs(70);
-    assert_eq!(lost.resolve(long, &Directory::default()), vec![]);
-    assert_eq!(lost.resolve(long, &directory(2, 1, true)), vec![]);
+    assert_eq!(
+        lost.resolve(long, &Directory::default(), Some(long)),
+        vec![]
+    );
+    assert_eq!(
+        lost.resolve(long, &directory(2, 1, true), Some(long)),
+        vec![]
+    );
 }
--- a/crates/rack/src/control/control_runner.rs
+++ b/crates/rack/src/control/control_runner.rs
@@ -267,6 +267,7 @@
         }
         self.view.confirmed = self.machine.intent_confirmed();
         self.view.voters = self.machine.early_voters();
+        self.view.members_confirmed = self.machine.members_confirmed();
         self.view.directory = Arc::new(self.machine.directory().clone());
         self.view.server = self.machine.server().map(|server| ServerView {
             incarnation: server.incarnation.clone(),
--- a/crates/rack/src/shared/node_view.rs
+++ b/crates/rack/src/shared/node_view.rs
@@ -18,6 +18,8 @@
 pub struct NodeView {
     /// All nodes and owners.
     pub directory: Arc<Directory>,
+    /// When the leader last confirmed the table of nodes; none if that table is still an earlier leader's.
+    pub members_confirmed: Option<Moment>,
     /// The operators' intent.
     pub intent: Arc<OperatorsIntent>,
     /// The intent is known to contain every change acknowledged up to this moment.
--- a/crates/rack/src/traffic/suspects/known_suspects.rs
+++ b/crates/rack/src/traffic/suspects/known_suspects.rs
@@ -203,7 +203,9 @@
     pub(in crate::traffic) fn review(&self) {
         let now = clock::now();
         let view = self.board.view();
-        let alive = self.lost_hops.borrow_mut().resolve(now, &view.directory);
+        let mut lost_hops = self.lost_hops.borrow_mut();
+        let alive = lost_hops.resolve(now, &view.directory, view.members_confirmed);
+        drop(lost_hops);
         self.retract(&alive);
         self.tell_appeared();
         let is_known = |node: &NodeName| self.address_of(node).is_some();
