core: an end is told at once to a node that has not confirmed what came before

Cause: a node that does not confirm is told again after 0.1 to 2 s, and meanwhile one letter at a time is under way to it, 0.5 s each. A node whose responses alone are cut off, or that answers late, receives what it is told all the same; but an end waited for the attempt after the last failure.

News that is due at once goes out at once, also beside a letter that is under way; what may wait (cleared contents) waits as before. `poison::unconfirmed` and `::two_letters` fail on the code before.

--- a/crates/core/src/traffic/poison/news_outbox.rs
+++ b/crates/core/src/traffic/poison/news_outbox.rs
@@ -35,11 +35,15 @@
     since: Moment,
     due: Moment,
     failures: u32,
-    sending: bool,
+    /// How many letters are under way.
+    sending: usize,
+    /// Whether there is news that does not wait for the letters under way, nor for the next attempt after a failure.
+    urgent: bool,
 }
 
 impl NewsOutbox {
-    /// Queues news of some contents for these nodes, to be sent at `due`.
+    /// Queues news of some contents for these nodes, to be sent at `due`. What is due now does not wait for letters
+    /// which a node does not confirm: it may receive them all the same.
     pub fn push(
         &mut self,
         now: Moment,
@@ -71,9 +75,10 @@
         self.pending
             .retain(|_, pending| now.since(pending.since) < MAX_TELLING_TIME);
         let due = self.pending.iter_mut();
-        let due = due.filter(|(_, pending)| !pending.sending && pending.due <= now);
+        let due = due.filter(|(_, pending)| pending.is_open() && pending.due <= now);
         let letters = due.map(|(node, pending)| {
-            pending.sending = true;
+            pending.sending += 1;
+            pending.urgent = false;
             let contents = pending.contents.take();
             // What is added meanwhile is listed anew.
             pending.contents = Some(BTreeSet::new());
@@ -88,14 +93,14 @@
 
     /// Returns when the next letter is due.
     pub fn next_due(&self) -> Option<Moment> {
-        let waiting = self.pending.values().filter(|pending| !pending.sending);
+        let waiting = self.pending.values().filter(|pending| pending.is_open());
         waiting.map(|pending| pending.due).min()
     }
 
     /// Returns whether every node that confirms what it is told has heard what is due.
     pub fn is_told(&self, now: Moment) -> bool {
         let mut open = self.pending.values();
-        !open.any(|pending| pending.failures == 0 && (pending.sending || pending.due <= now))
+        !open.any(|pending| pending.failures == 0 && (pending.sending > 0 || pending.due <= now))
     }
 
     /// Records that a node has confirmed a letter.
@@ -103,10 +108,11 @@
         let Some(pending) = self.pending.get_mut(&letter.to) else {
             return;
         };
-        pending.sending = false;
+        pending.sending = pending.sending.saturating_sub(1);
         pending.failures = 0;
         pending.since = now;
-        let is_done = pending.contents.as_ref().is_some_and(BTreeSet::is_empty);
+        let is_empty = pending.contents.as_ref().is_some_and(BTreeSet::is_empty);
+        let is_done = is_empty && pending.sending == 0;
         if is_done && pending.relay.is_empty() {
             self.pending.remove(&letter.to);
         }
@@ -122,7 +128,7 @@
         let Some(pending) = self.pending.get_mut(&to) else {
             return;
         };
-        pending.sending = false;
+        pending.sending = pending.sending.saturating_sub(1);
         pending.failures += 1;
         let doublings = (pending.failures - 1).min(8);
         let due = now + (MIN_RETRY * 2_u32.pow(doublings)).min(MAX_RETRY);
@@ -161,11 +167,14 @@
             since: now,
             due,
             failures: 0,
-            sending: false,
+            sending: 0,
+            urgent: false,
         });
-        // A node that does not confirm is not asked more often because there is more news.
+        pending.urgent |= due <= now;
+        // A node that does not confirm is not told more often because there is more news that can wait.
         pending.due = match pending.failures {
             0 => pending.due.min(due),
+            _ if pending.urgent => pending.due.min(due),
             _ => pending.due.max(due),
         };
         pending.relay.extend(relay.iter().cloned());
@@ -179,3 +188,10 @@
         }
     }
 }
+
+impl Pending {
+    /// Returns whether a letter may be sent as soon as it is due.
+    fn is_open(&self) -> bool {
+        self.sending == 0 || self.urgent
+    }
+}
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -442,3 +442,44 @@
     assert!(query.is_informed(at(4)));
     assert!(ask_all().is_informed(at(101)));
 }
+
+/// Guards against an end that a node is told late, since what it was told before could not be confirmed.
+#[test]
+fn unconfirmed() {
+    let others = nodes(2);
+    let mut outbox = NewsOutbox::default();
+    for ms in [0, 1_000, 2_000] {
+        outbox.push(at(ms), at(ms), &[content("earlier")], &others[..1]);
+        for letter in outbox.take_due(at(ms)) {
+            outbox.fail(at(ms + 500), letter);
+        }
+    }
+    // What can wait does not have it told more often.
+    outbox.push(at(2_510), at(2_560), &[content("cleared")], &others[..1]);
+    assert!(outbox.take_due(at(2_560)).is_empty());
+    for ms in [2_570, 2_580] {
+        outbox.push(at(ms), at(ms), &[content("guilty")], &others[..1]);
+        assert_eq!(outbox.take_due(at(ms)).len(), 1, "at {ms}");
+    }
+    assert_eq!(outbox.next_due(), None);
+}
+
+/// Guards against news that are forgotten as an earlier letter is confirmed.
+#[test]
+fn two_letters() {
+    let others = nodes(1);
+    let mut outbox = NewsOutbox::default();
+    let mut letters = Vec::new();
+    for name in ["first", "second"] {
+        outbox.push(at(0), at(0), &[content(name)], &others);
+        letters.extend(outbox.take_due(at(0)));
+    }
+    outbox.confirm(at(1), &letters[0]);
+    assert!(!outbox.is_told(at(1)));
+    outbox.fail(at(2), letters.remove(1));
+    let again = outbox.take_due(at(200));
+    assert_eq!(again[0].contents, Some(vec![content("second")]));
+    outbox.confirm(at(201), &again[0]);
+    assert!(outbox.is_told(at(201)));
+    assert_eq!(outbox.next_due(), None);
+}
