rack/tests/soak: connections in use until the process is gone; series of signals and changes that overlap

One client at each host sends one request after the other without a pause, on a connection that stays open, so a process that shuts down always has one in use. Beside the faults drawn so far each run has one or two series of SIGTERM, SIGHUP, new configurations, kills and crashes, 20 to 500 ms apart, at neighbouring hosts or the same one again, drawn from a generator of their own: the faults of a seed are those of before, and more.

--- a/crates/rack/tests/soak/clients.rs
+++ b/crates/rack/tests/soak/clients.rs
@@ -101,6 +101,21 @@
         }
     }
 
+    /// Sends one request after the other to one host until stopped, without a pause, on a connection that stays open
+    /// and so is in use until the process is gone.
+    pub async fn run_at(self: Arc<Self>, index: usize) {
+        let mut random = SmallRng::seed_from_u64(self.seed << 8 ^ !(index as u64));
+        let http = reqwest::Client::builder().no_proxy().build().unwrap();
+        while !self.stopped.load(Ordering::Relaxed) {
+            let kind = [Kind::Keyed, Kind::Plain, Kind::Once][random.random_range(0..3)];
+            let status = self.request(&http, index, kind, random.random()).await;
+            // A closed port or a refusal is not asked again at once.
+            if status != Some(200) {
+                tokio::time::sleep(REQUEST_INTERVAL).await;
+            }
+        }
+    }
+
     /// Stops sending requests.
     pub fn end(&self) {
         self.stopped.store(true, Ordering::Relaxed);
--- a/crates/rack/tests/soak/script.rs
+++ b/crates/rack/tests/soak/script.rs
@@ -121,10 +121,39 @@
         }
         at += Duration::from_millis(random.random_range(100..1_800));
     }
+    script.extend(draw_rolls(seed, hosts));
     script.sort_by_key(|(at, _)| *at);
     script
 }
 
+/// Draws series of signals, restarts and changes that go on while their effects last, so that they overlap each other
+/// and the other faults.
+fn draw_rolls(seed: u64, hosts: usize) -> Vec<(Duration, Fault)> {
+    let mut random = SmallRng::seed_from_u64(!seed);
+    let mut script = Vec::new();
+    for _ in 0..random.random_range(1..=2) {
+        let mut at = FAULT_PERIOD.mul_f64(random.random());
+        let mut index = random.random_range(0..hosts);
+        for _ in 0..random.random_range(3..=hosts + 2) {
+            let short = Duration::from_millis(random.random_range(50..600));
+            let fault = match random.random_range(0..12) {
+                0..=4 => Fault::Terminate(index),
+                5..=7 => Fault::Hup(index),
+                8..=9 => Fault::Config,
+                10 => Fault::Kill(index, short),
+                _ => Fault::Crash(index, short),
+            };
+            script.push((at, fault));
+            at += Duration::from_millis(random.random_range(20..500));
+            // Now and then the next one is for a process that is shutting down or starting.
+            if random.random_bool(0.7) {
+                index = (index + 1) % hosts;
+            }
+        }
+    }
+    script
+}
+
 fn draw_one(random: &mut SmallRng, hosts: usize) -> Fault {
     let index = random.random_range(0..hosts);
     let short = Duration::from_millis(random.random_range(100..1_500));
--- a/crates/rack/tests/system/support/node_process.rs
+++ b/crates/rack/tests/system/support/node_process.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::process::Child;
 use std::process::ChildStdout;
@@ -115,6 +116,13 @@
         count_descriptors(self.id())
     }
 
+    /// Returns whether the process was ended by a signal that it does not handle.
+    pub fn has_ended_by(&mut self, signal: Signal) -> bool {
+        let status = self.child.try_wait().unwrap();
+        let by = status.and_then(|status| status.signal());
+        by == Some(signal.as_raw())
+    }
+
     /// Returns whether the process has exited by itself.
     pub fn has_ended(&mut self) -> bool {
         self.child.try_wait().unwrap().is_some()
