rack/tests: what a frozen process is told is known to it afterwards

`poison_requests::told_while_frozen`: one process is frozen while three servers end under a content, all others are killed, then it goes on and the others start.

--- a/crates/rack/tests/system/poison_requests.rs
+++ b/crates/rack/tests/system/poison_requests.rs
@@ -184,8 +184,14 @@
         tokio::time::sleep(FREEZE_TIME).await;
         known.signal(Signal::CONT);
     };
+    tokio::join!(ask_while_starting(&world, 0), thaw);
+    check_ends(&world, 3);
+}
+
+/// Asks for the content at each host but one as soon as its process is back.
+async fn ask_while_starting(world: &World, known: usize) {
     let start = Instant::now();
-    let (world, asked) = (&world, 1..SERVICES.len());
+    let asked = (0..SERVICES.len()).filter(|host| *host != known);
     let asked = asked.map(|host| async move {
         let mut number = 0;
         while start.elapsed() < RESTART_TIME {
@@ -195,8 +201,35 @@
             tokio::time::sleep(SHORT_PAUSE).await;
         }
     });
-    tokio::join!(futures::future::join_all(asked), thaw);
-    check_ends(world, 3);
+    futures::future::join_all(asked).await;
+}
+
+/// Guards against a process that forgets what it was told while it was frozen, as those that told it have given up or
+/// ended by the time it goes on: it is the only one that is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn told_while_frozen() {
+    let mut world = start().await;
+    let leader = world.leader();
+    let frozen = if leader == 7 { 6 } else { 7 };
+    world.hosts[frozen].process().stop();
+    for number in 0..CLIENT_ATTEMPTS / 3 {
+        let id = format!("ends-servers-{number}");
+        world
+            .request(number % frozen, &id, "/plain/ends-servers", None)
+            .await;
+        tokio::time::sleep(PAUSE).await;
+    }
+    check_ends(&world, 3);
+    let others: Vec<usize> = (0..SERVICES.len()).filter(|host| *host != frozen).collect();
+    for host in &others {
+        world.kill_node(*host);
+    }
+    world.hosts[frozen].process().signal(Signal::CONT);
+    for host in &others {
+        world.start_node(*host);
+    }
+    ask_while_starting(&world, frozen).await;
+    check_ends(&world, 3);
 }
 
 /// Guards against a call under which servers end: its caller is no longer served and is sent to the next server,
