rack/tests/soak: a pause is recorded before its end, not after

Trace: it gets SIGTERM at 7.90 s and is paused from 8.31 s for 4.86 s, past its grace time; the two were sent at 12.47 and 12.80 s, while it was paused, and their connections close at 13.166 and 13.168 s, as it goes on and exits. A pause excuses what was sent until 4 s after its end, which the soak recorded only after it had sent SIGCONT, so clients that noticed the closed connection before that compared with the start of the pause.

--- a/crates/rack/tests/soak/fleet.rs
+++ b/crates/rack/tests/soak/fleet.rs
@@ -383,8 +383,9 @@
             }
             Recovery::StartNode(index) => self.start_node(index),
             Recovery::Resume(index) => {
-                self.signal(index, Signal::CONT);
+                // Its clients may notice what the process does next before this task goes on.
                 self.record_disturbance(index);
+                self.signal(index, Signal::CONT);
             }
             Recovery::StartOnceEnded(index, id, since) => {
                 return self.restart_once_ended(index, id, since);
