rack: a node handles what it was sent before it notices that the sender has gone

Cause: a process that is frozen while it is told of an end reads the news and the end of the connection at once, since the sender gives up after 0.5 s; the HTTP server drops a request whose connection has ended, so the news was lost. If all others are killed meanwhile, nobody knows.

Connections between nodes report their end one turn late: what is there by then is handled if it need not wait, and a request that does wait is dropped as before.

--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -34,6 +34,7 @@
 use crate::traffic::outcome::Outcome;
 use crate::traffic::suspects::Suspects;
 use crate::traffic::wire::ActiveCounter;
+use crate::traffic::wire::LateEndStream;
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::PacedStream;
 
@@ -63,7 +64,7 @@
     async fn serve(self, stream: TcpStream) {
         let _active = self.connections.enter();
         let mut closing = self.closing.clone();
-        let stream = PacedStream::new(stream, self.pacer.clone());
+        let stream = LateEndStream::new(PacedStream::new(stream, self.pacer.clone()));
         let service = service_fn(move |request| self.clone().handle(request));
         let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
--- a/crates/rack/tests/system/poison_requests.rs
+++ b/crates/rack/tests/system/poison_requests.rs
@@ -3,8 +3,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use quetzalrack_core::time::Moment;
+use quetzalrack_core::traffic::poison::ContentDigest;
+use quetzalrack_core::traffic::poison::ServerLife;
+use quetzalrack_core::traffic::poison::SuspectNews;
+use quetzalrack_core::traffic::poison::SuspectTable;
+use quetzalrack_core::traffic::poison::Witness;
 use reqwest::StatusCode;
 use rustix::process::Signal;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use super::support::ClientResponse;
 use super::support::World;
@@ -22,6 +31,8 @@
 const RESTART_TIME: Duration = Duration::from_secs(4);
 /// A request that is refused at once has its response by then, on a busy machine too.
 const AT_ONCE: Duration = Duration::from_millis(100);
+/// How many letters a frozen process gets.
+const LETTERS: usize = 20;
 const SERVICES: [&str; 8] = [
     "plain", "plain", "plain", "plain", "keyed", "keyed", "keyed", "keyed",
 ];
@@ -413,3 +424,72 @@
     println!("{refused} of {all} innocent requests refused, {served} served");
     assert_eq!(refused, 0);
 }
+
+/// Sends a request for news of suspected contents on a connection between nodes.
+async fn send_news_request(stream: &mut TcpStream, method: &str, body: &[u8]) {
+    let head = format!(
+        "{method} /quetzalrack/suspects HTTP/1.1\r\nhost: node\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let bytes = [head.as_bytes(), body].concat();
+    stream.write_all(&bytes).await.unwrap();
+}
+
+/// Asks a node on an open connection what it knows.
+async fn fetch_news(stream: &mut TcpStream) -> SuspectNews {
+    send_news_request(stream, "GET", &[]).await;
+    let mut bytes = Vec::new();
+    loop {
+        assert!(stream.read_buf(&mut bytes).await.unwrap() > 0);
+        let text = String::from_utf8_lossy(&bytes).to_ascii_lowercase();
+        let Some((head, _)) = text.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let length = head.split_once("content-length: ").unwrap().1;
+        let length: usize = length.split("\r\n").next().unwrap().parse().unwrap();
+        let begin = bytes
+            .windows(4)
+            .position(|part| part == b"\r\n\r\n")
+            .unwrap()
+            + 4;
+        if bytes.len() >= begin + length {
+            return postcard::from_bytes(&bytes[begin..begin + length]).unwrap();
+        }
+    }
+}
+
+/// Guards against news that is lost since its sender gave up before the node, which was frozen, read it.
+#[tokio::test(flavor = "multi_thread")]
+async fn read_late() {
+    let world = World::start(&["plain", "keyed"]).await;
+    world.wait_until_served(START).await;
+    let address = world.hosts[0].hops();
+    let mut connections = Vec::new();
+    for _ in 0..LETTERS {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        fetch_news(&mut stream).await;
+        connections.push(stream);
+    }
+    world.hosts[0].process().stop();
+    // Every other letter comes on a new connection.
+    for (number, mut stream) in connections.into_iter().enumerate() {
+        if number % 2 == 1 {
+            stream = TcpStream::connect(address).await.unwrap();
+        }
+        let mut table = SuspectTable::default();
+        let content = ContentDigest::of([number.to_string().as_bytes()]);
+        let server = ServerLife::of("server", 1);
+        table.record_end(Moment(1), content, server, Witness::Beside, false);
+        let news = SuspectNews {
+            records: table.records(),
+            ..SuspectNews::default()
+        };
+        let body = postcard::to_allocvec(&news).unwrap();
+        send_news_request(&mut stream, "POST", &body).await;
+    }
+    world.hosts[0].process().signal(Signal::CONT);
+    tokio::time::sleep(PAUSE * 2).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let known = fetch_news(&mut stream).await.records.len();
+    assert_eq!(known, LETTERS, "contents of {LETTERS} are known");
+}
