node: an answer of a backend server without end is given up

quetzalrack-node kept what has no end in the answers to its own calls: it grew by 370 MB by one refusal of grants, by 196 MB by probes and by 183 MB by all of its calls, and would have gone on with more connections or a faster server (each answer was cut at 100 MB by the test). Callers were held to their deadlines by interim answers and by zeros before a chunk's size.

Cause: the client library collects a body without a bound, and drops interim answers and zeros without one.

Bodies of requests are passed on as before. The request's target goes to the server as the caller wrote it, and no accept header is added.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod metrics;
 pub mod node;
 pub mod platform;
+mod server_calls;
 pub mod settings;
 pub mod shared;
 pub mod traffic;
--- a/crates/node/src/platform/boundaries.rs
+++ b/crates/node/src/platform/boundaries.rs
@@ -44,7 +44,7 @@
             log: Arc::new(HttpLog::open(&settings.log, log_counters.clone())?),
             clock: Arc::new(BootClock),
             peers: Arc::new(DatagramNetwork::new(keys)),
-            backend: Arc::new(BackendHttp::open(view)?),
+            backend: Arc::new(BackendHttp::open(view)),
             log_counters,
         })
     }
--- a/crates/node/src/traffic/egress/attempt.rs
+++ b/crates/node/src/traffic/egress/attempt.rs
@@ -11,6 +11,7 @@
 use super::Egress;
 use super::prepared_request::HeldSlot;
 use super::prepared_request::PreparedRequest;
+use crate::server_calls::ServerCallError;
 
 /// How long to wait for the end of an attempt once its cancellation is confirmed.
 const CANCELLED_TIMEOUT: Duration = Duration::from_secs(1);
@@ -47,8 +48,8 @@
         body_exceeded,
     } = prepared;
     let sent_at = egress.clock.now();
-    let client = egress.client.request_client();
-    let mut response = std::pin::pin!(client.execute(request));
+    let pool = egress.client.request_pool();
+    let mut response = std::pin::pin!(pool.send(held_slot.origin().address, request));
     let outcome = tokio::select! {
         response = &mut response => Some(response),
         () = caller.closed() => None,
@@ -91,12 +92,14 @@
     }
 }
 
-fn classify_error(error: &reqwest::Error) -> (AttemptOutcome, RefusalCode) {
-    match error.is_connect() {
+fn classify_error(error: &ServerCallError) -> (AttemptOutcome, RefusalCode) {
+    match error {
         // Unlike a refused connection, a timeout does not mean that the server is unreachable: the
         // host may be busy.
-        true if error.is_timeout() => (AttemptOutcome::Lost, RefusalCode::ServerUnreachable),
-        true => (AttemptOutcome::Unreachable, RefusalCode::ServerUnreachable),
-        false => (AttemptOutcome::Lost, RefusalCode::AnswerLost),
+        ServerCallError::ConnectTimeout => (AttemptOutcome::Lost, RefusalCode::ServerUnreachable),
+        ServerCallError::Connect(_) => {
+            (AttemptOutcome::Unreachable, RefusalCode::ServerUnreachable)
+        }
+        ServerCallError::Broken(_) => (AttemptOutcome::Lost, RefusalCode::AnswerLost),
     }
 }
--- a/crates/node/src/traffic/egress/build_request.rs
+++ b/crates/node/src/traffic/egress/build_request.rs
@@ -2,10 +2,12 @@
 
 use std::sync::atomic::Ordering;
 
+use http::Request;
+use http::Uri;
 use quetzalrack_core::document::spec::Method;
 use quetzalrack_core::traffic::refusal::RefusalCode;
 use quetzalrack_wire::headers;
-use reqwest::Url;
+use reqwest::Body;
 
 use super::Egress;
 use super::prepared_request::ResponseOrigin;
@@ -19,14 +21,15 @@
         &self,
         hop: HopRequest,
         origin: &ResponseOrigin,
-    ) -> Result<reqwest::Request, Refusal> {
+    ) -> Result<Request<Body>, Refusal> {
         let left = hop.deadline.since(self.clock.now());
         if left.is_zero() {
             return Err(RefusalCode::DeadlineNotRun.into());
         }
-        let text = format!("http://{}{}", origin.address, hop.target);
-        let url = Url::parse(&text).map_err(|_| Refusal::from(RefusalCode::BadPath))?;
-        let mut request = reqwest::Request::new(http_method(hop.matched.route.method), url);
+        let target = Uri::try_from(&hop.target).map_err(|_| Refusal::from(RefusalCode::BadPath))?;
+        let mut request = Request::new(hop.payload.into_reqwest().unwrap_or_default());
+        *request.method_mut() = http_method(hop.matched.route.method);
+        *request.uri_mut() = target;
         let map = request.headers_mut();
         *map = hop.headers;
         set_header(map, headers::REQUEST, hop.request);
@@ -36,7 +39,6 @@
             set_header(map, headers::SLICE, &grant.slice);
             set_header(map, headers::FENCE, grant.fence);
         }
-        *request.body_mut() = hop.payload.into_reqwest();
         self.sent_count.fetch_add(1, Ordering::Relaxed);
         Ok(request)
     }
--- a/crates/node/src/traffic/egress/egress_node.rs
+++ b/crates/node/src/traffic/egress/egress_node.rs
@@ -83,11 +83,11 @@
         clock: Arc<dyn Clock>,
         handovers: Arc<dyn HandoverLink>,
         suspects: Arc<Suspects>,
-    ) -> Result<Self, reqwest::Error> {
-        Ok(Self {
+    ) -> Self {
+        Self {
             zone,
             slots: Arc::new(Slots::new(Arc::clone(&clock))),
-            client: ServerClient::new()?,
+            client: ServerClient::new(),
             slice_requests: Arc::default(),
             load: LoadCounter::default(),
             handovers: Handovers::new(handovers),
@@ -99,7 +99,7 @@
             idempotency: Mutex::new(IdempotencyStore::new(IdempotencySettings::default())),
             view,
             clock,
-        })
+        }
     }
 
     /// Sends a request to the backend server and returns its response or a refusal.
--- a/crates/node/src/traffic/egress/prepared_request.rs
+++ b/crates/node/src/traffic/egress/prepared_request.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use http::Request;
 use quetzalrack_core::cluster::Announcement;
 use quetzalrack_core::ids::AttemptId;
 use quetzalrack_core::ids::Fence;
@@ -12,6 +13,7 @@
 use quetzalrack_core::ids::SliceId;
 use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::admission::AttemptOutcome;
+use reqwest::Body;
 
 use super::Egress;
 use super::slice_requests::SliceRequest;
@@ -126,7 +128,7 @@
 
 /// A request that is ready to be sent.
 pub(super) struct PreparedRequest {
-    pub(super) request: reqwest::Request,
+    pub(super) request: Request<Body>,
     pub(super) held_slot: HeldSlot,
     /// When to cancel the request.
     pub(super) cancel_at: Option<Moment>,
--- a/crates/node/src/traffic/egress/server_client.rs
+++ b/crates/node/src/traffic/egress/server_client.rs
@@ -7,35 +7,47 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use http::Method;
+use http::Request;
 use quetzalrack_core::cluster::Announcement;
 use quetzalrack_core::ids::AttemptId;
-use reqwest::Client;
-use reqwest::redirect::Policy;
+use reqwest::Body;
+use tokio::time::timeout;
+
+use crate::server_calls::PoolLimits;
+use crate::server_calls::ServerPool;
+use crate::traffic::hop::buffer_body;
 
 /// How long opening a connection may take. It is below the lease's margin, so that a request which
 /// the lease allowed is written before the lease ends for its successor.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
-/// The interval of TCP keepalive probes on a silent connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 /// How long the backend server may take to confirm a cancellation or a probe.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Connections reserved for grants, cancellations and probes.
 const RESERVED_CONNECTIONS: u32 = 8;
+/// Connections kept for cancellations.
+const MAX_IDLE_CONTROL: usize = 2;
+/// The longest body of the response to a cancellation or a probe.
+const MAX_CONTROL_BYTES: usize = 64 * 1024;
 
 /// Keeps open connections to the backend server, fewer than it accepts.
 pub(super) struct ServerClient {
-    request_client: ArcSwap<Client>,
-    control_client: Client,
+    requests: ArcSwap<ServerPool>,
+    control: Arc<ServerPool>,
     max_idle: AtomicUsize,
 }
 
 impl ServerClient {
-    pub(super) fn new() -> Result<Self, reqwest::Error> {
-        Ok(Self {
-            request_client: ArcSwap::from_pointee(build_client(0)?),
-            control_client: build_client(2)?,
+    pub(super) fn new() -> Self {
+        Self {
+            requests: ArcSwap::new(request_pool(0)),
+            control: ServerPool::new(PoolLimits {
+                connect_timeout: CONNECT_TIMEOUT,
+                max_idle: MAX_IDLE_CONTROL,
+                body_bytes: Some(MAX_CONTROL_BYTES as u64),
+            }),
             max_idle: AtomicUsize::new(0),
-        })
+        }
     }
 
     /// Limits the idle connections by what a backend server accepts: the connections in use never
@@ -53,58 +65,53 @@
     /// Replaces the connection pool. After a response to another attempt no connection of the old
     /// pool is reused, since the next response on it would belong to another attempt as well.
     pub(super) fn replace_pool(&self) {
-        match build_client(self.max_idle.load(Ordering::Relaxed)) {
-            Ok(client) => self.request_client.store(Arc::new(client)),
-            Err(error) => {
-                log::error!(event = "pool_not_renewed", error:% = error; "the connection pool was not replaced")
-            }
-        }
+        let max_idle = self.max_idle.load(Ordering::Relaxed);
+        self.requests.store(request_pool(max_idle));
     }
 
-    pub(super) fn request_client(&self) -> Arc<Client> {
-        self.request_client.load_full()
+    pub(super) fn request_pool(&self) -> Arc<ServerPool> {
+        self.requests.load_full()
     }
 
     /// Asks the backend server to cancel an attempt; tells whether it confirmed.
     pub(super) async fn cancel(&self, server: SocketAddr, attempt: AttemptId) -> bool {
-        let url = format!("http://{server}/control/cancellations/{attempt}");
-        let response = self
-            .control_client
-            .post(url)
-            .timeout(CONTROL_TIMEOUT)
-            .send()
-            .await;
-        response.is_ok_and(|response| response.status().is_success())
+        let path = format!("/control/cancellations/{attempt}");
+        let Ok(request) = control_request(Method::POST, &path) else {
+            return false;
+        };
+        let sent = timeout(CONTROL_TIMEOUT, self.control.send(server, request)).await;
+        matches!(sent, Ok(Ok(response)) if response.status().is_success())
     }
 
     /// Opens connections in advance, so that requests don't wait for them.
     pub(super) async fn open_connections(&self, server: SocketAddr, count: usize) {
-        let client = self.request_client();
-        let url = format!("http://{server}/control/health");
-        let probes = (0..count).map(|_| {
-            let probe = client.get(&url).timeout(CONTROL_TIMEOUT).send();
-            async move {
-                if let Ok(response) = probe.await {
-                    // Only a connection whose response was read completely returns to the pool.
-                    let _ = response.bytes().await;
-                }
-            }
-        });
+        let pool = self.request_pool();
+        let probes = (0..count).map(|_| timeout(CONTROL_TIMEOUT, probe(&pool, server)));
         futures::future::join_all(probes).await;
     }
 }
 
-fn build_client(max_idle: usize) -> Result<Client, reqwest::Error> {
-    Client::builder()
-        .no_proxy()
-        .redirect(Policy::none())
-        // The library must not retry on its own: only the retry budget and the idempotency store
-        // decide on second attempts.
-        .retry(reqwest::retry::never())
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_keepalive(KEEPALIVE_INTERVAL)
-        .tcp_nodelay(true)
-        .pool_max_idle_per_host(max_idle)
-        .http1_only()
-        .build()
+/// Asks the backend server for its health. Only a connection whose response was read completely returns to the pool.
+async fn probe(pool: &Arc<ServerPool>, server: SocketAddr) {
+    let Ok(request) = control_request(Method::GET, "/control/health") else {
+        return;
+    };
+    if let Ok(mut response) = pool.send(server, request).await {
+        let _ = buffer_body(&mut response, MAX_CONTROL_BYTES).await;
+    }
+}
+
+fn control_request(method: Method, path: &str) -> http::Result<Request<Body>> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .body(Body::default())
+}
+
+fn request_pool(max_idle: usize) -> Arc<ServerPool> {
+    ServerPool::new(PoolLimits {
+        connect_timeout: CONNECT_TIMEOUT,
+        max_idle,
+        body_bytes: None,
+    })
 }
--- a/crates/node/src/traffic/traffic_core.rs
+++ b/crates/node/src/traffic/traffic_core.rs
@@ -47,7 +47,7 @@
             Arc::clone(&clock),
             handovers,
             Arc::clone(&suspects),
-        )?;
+        );
         let ingress = Ingress::new(&config, Arc::clone(&clock))?;
         Ok(Self {
             authenticator,
