mesh: a token goes only on connections that lead to the incarnation that has it

OWNER: the next incarnation of a server held keys with the token that the one before had, where keys are granted by call (review_token).

Cause: a grant went on any connection that was opened before the newest heartbeat arrived. A heartbeat that is late was sent long before: the node opens connections to the next incarnation at the first of two late ones, and the second lets the grant pass on them.

Fix: a token that was sent goes again only on a connection that was opened before it was first sent, or before the last grant with it that was answered. Whoever got the token ran then, so such a connection leads to it, or has ended with it; arrival times of heartbeats are no part of that. If no such connection is left (the new outcome no_connection), the token is given up like a refused one and the leader gives another, which no incarnation has had. A token's first grant keeps its rule: if it reaches the next incarnation, the earlier one never had it.

The test models connections for its own schedules alone; in the others a call reaches whoever listens, as before.

--- a/crates/mesh/src/ownership/server_grants/call_grants/mod.rs
+++ b/crates/mesh/src/ownership/server_grants/call_grants/mod.rs
@@ -7,6 +7,7 @@
 //! `docs/design/platform.md`.
 
 mod call_grant;
+mod called_tokens;
 mod outcomes;
 
 use std::collections::BTreeMap;
@@ -16,6 +17,7 @@
 use quetzalrack_core::time::Moment;
 
 use call_grant::CallGrant;
+use called_tokens::CalledTokens;
 
 use super::KeyCall;
 use super::KeyCallId;
@@ -37,7 +39,9 @@
     last_id: u64,
     grants: Vec<CallGrant>,
     pending: BTreeMap<KeyCallId, PendingCall>,
-    /// Grants that the server refused because it has seen a higher token; they are not requested again.
+    called: CalledTokens,
+    /// Grants that need a higher token, since the server refused this one or no connection may carry it; they are
+    /// not requested again.
     stale_grants: Vec<HeldRange>,
     /// When releases may be requested again after one failed.
     release_after: Moment,
@@ -47,6 +51,7 @@
 struct PendingCall {
     held: HeldRange,
     incarnation: ServerIncarnation,
+    asked_at: Moment,
     /// What was known of the grant before this call was sent; none for a release.
     prior: Option<PriorGrant>,
 }
@@ -58,7 +63,8 @@
 }
 
 impl CallGrants {
-    /// Returns the calls that the lease requires now; without a lease everything is released.
+    /// Returns the calls that the lease requires now; without a lease everything is released. `heartbeat_at` is
+    /// when the newest heartbeat of the incarnation arrived.
     pub(in crate::ownership::server_grants) fn due_calls(
         &mut self,
         now: Moment,
@@ -69,6 +75,7 @@
         times: &LeaseTimes,
     ) -> Vec<KeyCall> {
         self.grants.retain(|grant| now < grant.latest_end);
+        self.called.set_incarnation(incarnation);
         let ranges = lease.map_or(&[][..], |lease| &lease.assignment.ranges);
         let mut calls = self.due_releases(now, incarnation, ranges);
         if let Some(lease) = lease {
@@ -76,11 +83,17 @@
                 calls.extend(self.due_grant(now, incarnation, range, lease.until, times));
             }
         }
-        let key_call = |(id, request)| KeyCall {
-            id,
-            address,
-            heartbeat_at,
-            request,
+        let key_call = |(id, request)| {
+            let called = match &request {
+                KeyRequest::Grant { range, .. } => self.called.opened_before(&range.held),
+                KeyRequest::Release(_) => None,
+            };
+            KeyCall {
+                id,
+                address,
+                opened_before: called.unwrap_or(heartbeat_at),
+                request,
+            }
         };
         calls.into_iter().map(key_call).collect()
     }
@@ -189,7 +202,7 @@
         // The server could carry out a pending grant after the release, so the release waits for its outcome.
         unwanted.retain(|held| !self.is_pending(&held.keys));
         let release = |held: HeldRange| {
-            let id = self.add_pending(held, incarnation, None);
+            let id = self.add_pending(now, held, incarnation, None);
             (id, KeyRequest::Release(held))
         };
         unwanted.into_iter().map(release).collect()
@@ -231,13 +244,14 @@
                 renew_at: now,
             }),
         }
-        let id = self.add_pending(held, incarnation, Some(prior));
+        let id = self.add_pending(now, held, incarnation, Some(prior));
         let range = range.clone();
         Some((id, KeyRequest::Grant { range, end }))
     }
 
     fn add_pending(
         &mut self,
+        asked_at: Moment,
         held: HeldRange,
         incarnation: &ServerIncarnation,
         prior: Option<PriorGrant>,
@@ -250,6 +264,7 @@
             PendingCall {
                 held,
                 incarnation,
+                asked_at,
                 prior,
             },
         );
--- a/crates/mesh/src/ownership/server_grants/call_grants/outcomes.rs
+++ b/crates/mesh/src/ownership/server_grants/call_grants/outcomes.rs
@@ -45,7 +45,7 @@
         outcome: &KeyCallOutcome,
         times: &LeaseTimes,
     ) {
-        if *outcome == KeyCallOutcome::StaleToken {
+        if self.record_token(pending, outcome) {
             if self.stale_grants.len() == MAX_STALE_GRANTS {
                 self.stale_grants.remove(0);
             }
@@ -78,12 +78,33 @@
                 grant.earliest_end = now;
                 prior.latest_end
             }
-            KeyCallOutcome::Released(_) | KeyCallOutcome::Rejected | KeyCallOutcome::NotSent => {
-                prior.latest_end
-            }
+            KeyCallOutcome::Released(_)
+            | KeyCallOutcome::Rejected
+            | KeyCallOutcome::NotSent
+            | KeyCallOutcome::NoConnection => prior.latest_end,
         };
     }
 
+    /// Records which incarnation may have got the token. Returns whether the grant needs a higher one.
+    fn record_token(&mut self, pending: &PendingCall, outcome: &KeyCallOutcome) -> bool {
+        let PendingCall {
+            held,
+            incarnation,
+            asked_at,
+            ..
+        } = pending;
+        match outcome {
+            KeyCallOutcome::NotSent => return false,
+            // A token that was never sent can wait for the next heartbeat.
+            KeyCallOutcome::NoConnection => return self.called.opened_before(held).is_some(),
+            _ => self.called.record_sent(incarnation, *held, *asked_at),
+        }
+        if let KeyCallOutcome::Granted { sent, .. } = outcome {
+            self.called.record_answered(incarnation, held, *sent);
+        }
+        *outcome == KeyCallOutcome::StaleToken
+    }
+
     fn record_release_outcome(
         &mut self,
         now: Moment,
--- a/crates/mesh/src/ownership/server_grants/key_call.rs
+++ b/crates/mesh/src/ownership/server_grants/key_call.rs
@@ -17,10 +17,9 @@
     pub id: KeyCallId,
     /// Where the server listens.
     pub address: SocketAddr,
-    /// When the newest heartbeat of the server's incarnation arrived. A connection opened earlier leads to
-    /// that incarnation. One opened later may lead to the next incarnation, which must not get a token of
-    /// this one.
-    pub heartbeat_at: Moment,
+    /// A grant needs a connection that was opened earlier. One opened later may lead to the next incarnation,
+    /// which must not get a token of this one.
+    pub opened_before: Moment,
     /// What the server is asked to do.
     pub request: KeyRequest,
 }
--- a/crates/mesh/src/ownership/server_grants/key_call_outcome.rs
+++ b/crates/mesh/src/ownership/server_grants/key_call_outcome.rs
@@ -33,4 +33,6 @@
     },
     /// The call was not sent.
     NotSent,
+    /// The call was not sent, as no connection is left that was opened early enough.
+    NoConnection,
 }
--- a/crates/mesh/tests/ownership_calls.rs
+++ b/crates/mesh/tests/ownership_calls.rs
@@ -4,8 +4,12 @@
 
 mod ownership_support;
 
+use std::time::Duration;
+
 use ownership_support::FaultKind;
+use ownership_support::Fleet;
 use ownership_support::check;
+use ownership_support::plan;
 use ownership_support::run_schedules;
 use quetzalrack_mesh::model::Granting;
 
@@ -70,3 +74,40 @@
     check(149, FaultKind::PowerLosses, Granting::ByCall);
     check(76, FaultKind::All, Granting::ByCall);
 }
+
+/// Guards against keys that the next incarnation of a server gets with the token of the one before: late heartbeats
+/// of that one arrive after the node has connected to the next.
+#[test]
+fn late_heartbeats_of_earlier_server() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(plan(seed, FaultKind::NoFaults, Granting::ByCall));
+        fleet.model_connections();
+        fleet.restart_server_unheard(Duration::from_secs(10));
+        fleet.run();
+        assert_eq!(fleet.violation, None, "seed {seed}");
+        assert!(
+            fleet.final_owned >= 65_000,
+            "seed {seed}: {} keys",
+            fleet.final_owned
+        );
+    }
+}
+
+/// Guards against keys without an owner because no connection that leads to the server's incarnation is left.
+#[test]
+fn connections_lost() {
+    for (faults, seeds) in [
+        (FaultKind::NoFaults, 0..20),
+        (FaultKind::PowerLosses, 0..20),
+        (FaultKind::All, 0..20),
+    ] {
+        for seed in seeds {
+            let mut fleet = Fleet::new(plan(seed, faults, Granting::ByCall));
+            fleet.model_connections();
+            fleet.run();
+            assert_eq!(fleet.violation, None, "{faults:?}, seed {seed}");
+            let owned = fleet.final_owned;
+            assert!(owned >= 65_536, "{faults:?}, seed {seed}: {owned} keys");
+        }
+    }
+}
--- a/crates/mesh/tests/ownership_support/fleet/calls.rs
+++ b/crates/mesh/tests/ownership_support/fleet/calls.rs
@@ -39,6 +39,8 @@
     grant: Option<(Moment, Duration)>,
     held: HeldRange,
     answered: bool,
+    /// When the incarnation started to which its connection leads; none if it reaches whichever listens.
+    started_ms: Option<u64>,
 }
 
 impl Fleet {
@@ -69,9 +71,9 @@
             host.deferred.push(deferred);
             return;
         }
+        let opened_before = call.opened_before;
         let times = LeaseTimes::for_granting(self.plan.granting, HEARTBEAT);
         let now = self.now;
-        let listens = host.server.is_some();
         let (held, grant, limit) = match call.request {
             KeyRequest::Grant { range, end } => {
                 let time = times.call_hold(now, end);
@@ -80,6 +82,14 @@
             KeyRequest::Release(held) => (held, None, RELEASE_TIMEOUT),
         };
         let is_release = limit == RELEASE_TIMEOUT;
+        // Each release has a connection of its own.
+        if !is_release && !self.is_connected(index, opened_before) {
+            self.unsent += 1;
+            let ended = CallStage::Ended(call.id, KeyCallOutcome::NoConnection);
+            self.schedule(Duration::ZERO, SimEvent::Call(index, incarnation, ended));
+            return;
+        }
+        let listens = self.nodes[index].server.is_some();
         if !listens || (grant.is_none() && !is_release) || self.random.random_bool(0.01) {
             let ended = CallStage::Ended(call.id, KeyCallOutcome::NotSent);
             let delay = self.random_delay(20);
@@ -96,10 +106,14 @@
             grant: grant.map(|(sent, time)| (sent + self.random_delay(2).min(delay), time)),
             held,
             answered,
+            started_ms: self.connected_to(index),
         };
         let executed = CallStage::Executed(call.id, arrived);
         self.schedule(delay, SimEvent::Call(index, incarnation, executed));
         if !answered {
+            if !is_release {
+                self.close_connection(index);
+            }
             let outcome = KeyCallOutcome::Unanswered {
                 closed: now + limit,
                 time: grant.map_or(Duration::ZERO, |(_, time)| time),
@@ -112,7 +126,9 @@
     fn execute_call(&mut self, index: usize, incarnation: u64, id: KeyCallId, arrived: Arrived) {
         let now = self.now;
         let work = self.random_delay(300);
-        let Some(server) = self.nodes[index].server.as_mut() else {
+        let leads_to = |incarnation: u64| arrived.started_ms.is_none_or(|to| to == incarnation);
+        let server = self.nodes[index].server.as_mut();
+        let Some(server) = server.filter(|server| leads_to(server.incarnation.started_ms)) else {
             return;
         };
         let (outcome, delay) = match arrived.grant {
--- a/crates/mesh/tests/ownership_support/fleet/mod.rs
+++ b/crates/mesh/tests/ownership_support/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod checks;
+mod connections;
 mod departures;
 mod faults;
 mod restarts;
@@ -44,6 +45,7 @@
 use super::fake_store::FakeStore;
 use super::tracing;
 use calls::CallStage;
+use connections::Connection;
 use departures::DelayedAnswer;
 pub use departures::Departure;
 pub use departures::DeparturePlan;
@@ -96,9 +98,12 @@
     /// Time without an owner, summed over samples, in thousandths of the keys.
     pub unowned: u64,
     pub grants: u64,
+    /// Calls for which there was no connection.
+    pub unsent: u64,
     pub violation: Option<String>,
     /// The departure of a server, if the test plans one.
     pub departure: Option<Departure>,
+    models_connections: bool,
     /// Whether each step is printed, to find the cause of a failure.
     trace: bool,
 }
@@ -112,6 +117,7 @@
     deferred: Vec<SimEvent>,
     delayed: Vec<DelayedAnswer>,
     server: Option<FakeServer>,
+    connections: Vec<Connection>,
     /// Whether the host is lost permanently.
     gone: bool,
 }
@@ -135,6 +141,7 @@
     LoseLeader,
     ServerLeaves(DeparturePlan),
     ServerCrashes,
+    ServerCrashesUnheard,
     KillBeside(usize, ServerHeartbeat),
     DeliverLate(usize, ServerHeartbeat),
     LeavingReceived(usize, ServerIncarnation),
@@ -166,6 +173,7 @@
             deferred: Vec::new(),
             delayed: Vec::new(),
             server: None,
+            connections: Vec::new(),
             gone: false,
         });
         let mut fleet = Self {
@@ -184,8 +192,10 @@
             final_owned: 0,
             unowned: 0,
             grants: 0,
+            unsent: 0,
             violation: None,
             departure: None,
+            models_connections: false,
             trace: std::env::var_os("QUETZALRACK_TRACE").is_some(),
             plan,
         };
@@ -341,6 +351,7 @@
                 }
             }
             SimEvent::ServerCrashes => self.crash_server(),
+            SimEvent::ServerCrashesUnheard => self.crash_unheard(),
             SimEvent::KillBeside(index, late) => self.kill_beside(index, late),
             SimEvent::DeliverLate(index, late) => self.deliver_late(index, late),
             event @ SimEvent::LeavingReceived(..) => self.announce_leaving(event),
@@ -392,7 +403,9 @@
                 let deferred = SimEvent::HeartbeatReceived(index, heartbeat.clone());
                 self.record_draining(&heartbeat);
                 let event = Event::Server(ServerEvent::Heartbeat(heartbeat));
-                self.step(index, incarnation, event, deferred);
+                if self.step(index, incarnation, event, deferred) {
+                    self.open_connections(index);
+                }
             }
             SimEvent::HeartbeatAnswered(index, started_ms, sequence, answer) => {
                 self.answer_heartbeat(index, started_ms, sequence, &answer);
@@ -472,6 +485,7 @@
             return;
         }
         host.incarnation += 1;
+        host.connections.clear();
         host.started = self.now;
         let incarnation = host.incarnation;
         let profile = NodeProfile {
--- a/crates/rack/src/control/key_calls.rs
+++ b/crates/rack/src/control/key_calls.rs
@@ -72,7 +72,7 @@
         let KeyCall {
             id,
             address,
-            heartbeat_at,
+            opened_before,
             request,
         } = call;
         let (name, held, outcome) = match request {
@@ -81,7 +81,7 @@
                 (
                     "grant",
                     held,
-                    self.grant(address, heartbeat_at, range, end).await,
+                    self.grant(address, opened_before, range, end).await,
                 )
             }
             KeyRequest::Release(held) => ("release", held, self.release(address, held).await),
@@ -114,14 +114,16 @@
     async fn grant(
         &self,
         address: SocketAddr,
-        heartbeat_at: Moment,
+        opened_before: Moment,
         range: GrantedRange,
         end: Moment,
     ) -> KeyCallOutcome {
         let sent = Cell::new(None);
+        let is_connected = Cell::new(false);
         // The hold is computed once a connection is open, with a clock that counts suspended time, so
         // that waiting for the connection does not extend it.
         let build_request = || {
+            is_connected.set(true);
             let now = clock::now();
             let time = self.times.call_hold(now, end)?;
             sent.set(Some((now, time)));
@@ -129,11 +131,14 @@
         };
         let exchange = self
             .pool
-            .exchange_deferred(address, heartbeat_at, build_request);
+            .exchange_deferred(address, opened_before, build_request);
         // An exchange that is dropped at its timeout closes the call's connection.
         let result = tokio::time::timeout(self.times.call_timeout, exchange).await;
         let Some((sent, time)) = sent.get() else {
-            return KeyCallOutcome::NotSent;
+            return match result {
+                Ok(Ok(None)) if !is_connected.get() => KeyCallOutcome::NoConnection,
+                _ => KeyCallOutcome::NotSent,
+            };
         };
         let now = clock::now();
         match status_of(result) {
@@ -197,5 +202,6 @@
         KeyCallOutcome::Rejected => "rejected",
         KeyCallOutcome::Unanswered { .. } => "unanswered",
         KeyCallOutcome::NotSent => "not_sent",
+        KeyCallOutcome::NoConnection => "no_connection",
     }
 }
