mesh: a grant by call without a connection is asked for again after a pause

Cause: a grant that was not sent is forgotten at once if nothing was held before, and with it the time of the next try.

Fix: after a grant that was not sent, no range that isn't held is asked for during 0.15 s, unless the next heartbeat comes first, which is what lets connections be used.

Evidence: ownership_calls::unsent_calls_pause, red before (778 calls in one schedule, 200 allowed: the simulation delays each by 2.5 ms).

--- a/crates/mesh/src/ownership/server_grants/call_grants/mod.rs
+++ b/crates/mesh/src/ownership/server_grants/call_grants/mod.rs
@@ -45,6 +45,10 @@
     stale_grants: Vec<HeldRange>,
     /// When releases may be requested again after one failed.
     release_after: Moment,
+    /// When ranges that are not held may be requested again after a grant was not sent.
+    grant_after: Moment,
+    /// When the heartbeat arrived that let connections be used.
+    heartbeat_at: Moment,
 }
 
 #[derive(Clone, Debug)]
@@ -76,6 +80,10 @@
     ) -> Vec<KeyCall> {
         self.grants.retain(|grant| now < grant.latest_end);
         self.called.set_incarnation(incarnation);
+        if self.heartbeat_at != heartbeat_at {
+            self.heartbeat_at = heartbeat_at;
+            self.grant_after = now;
+        }
         let ranges = lease.map_or(&[][..], |lease| &lease.assignment.ranges);
         let mut calls = self.due_releases(now, incarnation, ranges);
         if let Some(lease) = lease {
@@ -223,6 +231,9 @@
         }
         let time = times.call_hold(now, end)?;
         let known = self.find(&held, incarnation);
+        if known.is_none() && now < self.grant_after {
+            return None;
+        }
         if let Some(grant) = known {
             let longer = (now + time).since(grant.earliest_end) >= MIN_EXTENSION;
             if now < grant.renew_at || !longer {
--- a/crates/mesh/src/ownership/server_grants/call_grants/outcomes.rs
+++ b/crates/mesh/src/ownership/server_grants/call_grants/outcomes.rs
@@ -51,6 +51,12 @@
             }
             self.stale_grants.push(pending.held);
         }
+        if matches!(
+            outcome,
+            KeyCallOutcome::NotSent | KeyCallOutcome::NoConnection
+        ) {
+            self.grant_after = now + RETRY_PAUSE;
+        }
         let Some(grant) = self.find_mut(&pending.held, &pending.incarnation) else {
             return;
         };
--- a/crates/mesh/tests/ownership_calls.rs
+++ b/crates/mesh/tests/ownership_calls.rs
@@ -111,3 +111,15 @@
         }
     }
 }
+
+/// Guards against calls that are repeated without a pause while there is no connection for them: they took a
+/// processor, and wrote thousands of lines a second.
+#[test]
+fn unsent_calls_pause() {
+    let mut fleet = Fleet::new(plan(3, FaultKind::NoFaults, Granting::ByCall));
+    fleet.model_connections();
+    fleet.restart_server_unheard(Duration::from_secs(10));
+    fleet.run();
+    // Six servers start, and wait for their second heartbeat; a call is repeated after 0.15 s.
+    assert!(fleet.unsent < 200, "{} calls", fleet.unsent);
+}
