tests: odd headers of servers and clients

Guards that were missing: a thread that panics ends the process, and requests that were passed on get no answer. Sixteen headers of a server and thirteen of clients with numbers out of any range, names without meaning, and heads near the limit, each at the process beside the server and by way of another host.

--- a/crates/rack/tests/crowds/servers.rs
+++ b/crates/rack/tests/crowds/servers.rs
@@ -150,3 +150,91 @@
     };
     check_answers(little_memory(), answer, &[SERVER], TINY_CLIENTS).await;
 }
+
+/// Guards against a thread that ends at a header that no server should send.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_answer_headers() {
+    let long = "x".repeat(60_000);
+    let many = (0..90).map(|number| format!("X-Other-{number}: 1\r\n"));
+    let nines = "9".repeat(300);
+    let tiny = format!("0.{}1", "0".repeat(300));
+    let headers = [
+        "Keep-Alive: timeout=18446744073709551615\r\n".to_owned(),
+        "Keep-Alive: timeout=99999999999999999999999\r\n".to_owned(),
+        "Keep-Alive: timeout=0\r\n".to_owned(),
+        "X-Server-Load: 4294967295,4294967295,0,18446744073709551615\r\n".to_owned(),
+        "X-Server-Load: 0,0,0,0\r\n".to_owned(),
+        "X-Server-Load: -1,,NaN,inf\r\n".to_owned(),
+        "X-Cold-Remaining-Ms: 18446744073709551615\r\n".to_owned(),
+        "Retry-After: inf\r\n".to_owned(),
+        format!("Server-Limit: {nines}\r\n"),
+        format!("Server-Limit: {tiny}\r\n"),
+        "Server-Limit: NaN\r\n".to_owned(),
+        "Connection: close, X-Server-Stamp, \u{7}\r\n".to_owned(),
+        "X-Request-Id: another\r\n".to_owned(),
+        format!("X-Long: {long}\r\n"),
+        many.collect(),
+        "Server-Leaving: 1\r\n".to_owned(),
+    ];
+    let mut site = Site::start(small_machine()).await;
+    for (number, header) in headers.into_iter().enumerate() {
+        let shown: String = header.chars().take(60).collect();
+        let answer = Answer {
+            headers: format!("Content-Length: 2\r\n{header}"),
+            end: "ok".into(),
+            ..Answer::default()
+        };
+        let server = FaultyServer::begin(&site.world.hosts[SERVER].server, answer).await;
+        let mut crowd = Crowd::open(site.clients(SERVER), uploads(SERVER, 2));
+        crowd.join(site.clients(ENTRY), uploads(ENTRY, 2));
+        crowd.wait_for_answers(ANSWER_GUARD).await;
+        println!(
+            "{} requests, {} for {shown:?}",
+            server.requests(),
+            crowd.summary()
+        );
+        server.end();
+        // What this incarnation has named holds for it alone.
+        site.world.hosts[SERVER]
+            .server
+            .restart_as(&format!("server-1-{number}"));
+        site.check(&shown).await;
+    }
+}
+
+/// Guards against a thread that ends at a header that no client should send.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_request_headers() {
+    let headers = [
+        "X-Deadline-Ms: 0\r\n",
+        "X-Deadline-Ms: 1\r\n",
+        "X-Deadline-Ms: 18446744073709551615\r\n",
+        "X-Deadline-Ms: 9223372036854775808\r\n",
+        "X-Deadline-Ms: 99999999999999999999999\r\n",
+        "X-Deadline-Ms: -5\r\n",
+        "X-Shard-Key: 65536\r\n",
+        "X-Shard-Key: -1\r\n",
+        "X-Shard-Key: 65535\r\nX-Shard-Key: 0\r\n",
+        "X-Request-Id: \u{e9}\r\n",
+        "Connection: X-Deadline-Ms, X-Request-Id\r\n",
+        "Content-Length: 18446744073709551615\r\n",
+        "Expect: 100-continue\r\n",
+    ];
+    let mut site = Site::start(small_machine()).await;
+    for header in headers {
+        let mut crowd = Crowd::open(site.clients(SERVER), []);
+        for host in [SERVER, ENTRY] {
+            let requests = ["plain", "keyed", "none"].map(|route| Script {
+                start: format!("GET /{route}/1 HTTP/1.1\r\nHost: shop.example\r\n{header}\r\n")
+                    .into(),
+                ..Script::default()
+            });
+            crowd.join(site.clients(host), requests);
+        }
+        crowd.settle().await;
+        crowd.wait_for_answers(Duration::from_secs(2)).await;
+        println!("{} for {header:?}", crowd.summary());
+        drop(crowd);
+        site.check(header).await;
+    }
+}
