mesh: a budget for what others make a process hold

A process held whatever came, each kind within bounds of its own or none, and nothing bounded the sum. The budget is a state machine without a clock: holders (connections of clients and of nodes, bodies of requests and of responses) draw on shares of the settings' memory_mb and max_fds; small ones have a part that large ones can't use. When a share is used up, what has stood still for a second gives way first; then, of connections the quietest that waits for its client, and of bodies the largest but the oldest, so that one always gets to its end. What waits for this process is never evicted. Requests in progress are counted apart, and one service may have half of them.

The shares leave a seventh of the memory to the process itself. A body of 64 MiB alone fits on a host with 160 MB, and so does a response of 32 MiB. Nothing uses it yet.

--- a/crates/mesh/src/traffic/mod.rs
+++ b/crates/mesh/src/traffic/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod balancing;
+pub mod budget;
 mod key_counter;
 pub mod link;
 pub mod notices;
