rack: responses of servers draw on one budget

What callers saw: a process ended by itself, and requests that it had passed on, unsafe ones among them, lost their connections without an answer (LOST).

Cause: a response was held whole until it was complete, at the process beside the server and again where the request had entered, and nothing bounded the sum. Its pieces were joined into a second copy while the first still stood; each piece, of one byte too, cost 32 bytes beside it; and since paced connections took no vectored writes, the HTTP library copied each body once more into the connection's buffer.

Fix: the bytes of a response are copied into blocks of at most 64 KiB, each charged to the budget before it is filled and given back when the last copy of it is gone, wherever that is. When there is no room, a response that has stood still gives way, then the largest but the oldest; its request, which may have run, is answered 502, and nothing is concluded of its server or node. Bodies are written from where they lie.

Not yet: what clients send, the other half of the class, and the answers of the store.

--- a/crates/core/src/traffic/poison/content_digest.rs
+++ b/crates/core/src/traffic/poison/content_digest.rs
@@ -25,9 +25,27 @@
     {
         let mut hash = Sha256::new();
         for part in parts {
-            hash.update((part.len() as u64).to_be_bytes());
-            hash.update(part);
+            add_part(&mut hash, part.len(), [part]);
         }
+        Self::finish(hash)
+    }
+
+    /// Computes the digest of parts and a last one of `length` bytes, which is held in blocks. It is the same as
+    /// with that part in one piece.
+    pub fn with_blocks<'a, P, B>(parts: P, length: usize, blocks: B) -> Self
+    where
+        P: IntoIterator<Item = &'a [u8]>,
+        B: IntoIterator<Item = &'a [u8]>,
+    {
+        let mut hash = Sha256::new();
+        for part in parts {
+            add_part(&mut hash, part.len(), [part]);
+        }
+        add_part(&mut hash, length, blocks);
+        Self::finish(hash)
+    }
+
+    fn finish(hash: Sha256) -> Self {
         let mut digest = [0; DIGEST_BYTES];
         digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
         Self(digest)
@@ -41,6 +59,16 @@
     }
 }
 
+fn add_part<'a, B>(hash: &mut Sha256, length: usize, blocks: B)
+where
+    B: IntoIterator<Item = &'a [u8]>,
+{
+    hash.update((length as u64).to_be_bytes());
+    for block in blocks {
+        hash.update(block);
+    }
+}
+
 impl fmt::Display for ContentDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(&hex::encode(self.0))
--- a/crates/rack/src/control/control_loop.rs
+++ b/crates/rack/src/control/control_loop.rs
@@ -13,6 +13,7 @@
 use quetzalrack_mesh::ownership::LeaseTimes;
 use quetzalrack_mesh::ownership::NodeMachine;
 use quetzalrack_mesh::ownership::NodeProfile;
+use quetzalrack_mesh::traffic::budget::BudgetPlan;
 use quetzalrack_platform::request::READINESS_PATH;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -27,6 +28,7 @@
 use super::server_port::ServerPort;
 use super::server_port::status;
 use super::store_calls::StoreCalls;
+use crate::budget::ProcessBudget;
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::shared::Board;
@@ -110,9 +112,11 @@
             max_hold: default_times.max_hold.min(host.bounds.max_hold),
             ..default_times
         };
+        let plan = BudgetPlan::control(host.limits);
+        let budget = ProcessBudget::new(plan, Arc::clone(&self.metrics));
         let runner = ControlRunner {
             machine: NodeMachine::new(clock::now(), self.settings.profile.clone(), times),
-            calls: KeyCalls::new(times, events.clone(), Arc::clone(&self.metrics)),
+            calls: KeyCalls::new(times, events.clone(), Arc::clone(&self.metrics), budget),
             board: self.board,
             socket,
             store: StoreCalls {
--- a/crates/rack/src/control/key_calls.rs
+++ b/crates/rack/src/control/key_calls.rs
@@ -11,7 +11,6 @@
 use http::Request;
 use http::StatusCode;
 use http::header::HOST;
-use http_body_util::Full;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::GrantedRange;
 use quetzalrack_mesh::model::HeldRange;
@@ -26,8 +25,10 @@
 use quetzalrack_platform::server::release_request;
 use tokio::sync::mpsc;
 
+use crate::budget::ProcessBudget;
 use crate::clock;
 use crate::metrics::Metrics;
+use crate::traffic::body::Payload;
 use crate::traffic::wire::ExchangeError;
 use crate::traffic::wire::KeptResponse;
 use crate::traffic::wire::Pool;
@@ -57,10 +58,11 @@
         times: LeaseTimes,
         events: mpsc::UnboundedSender<Event>,
         metrics: Arc<Metrics>,
+        budget: Rc<ProcessBudget>,
     ) -> Self {
         Self {
             // The server is on the same host.
-            pool: Pool::new(POOL_LIMITS, None),
+            pool: Pool::new(POOL_LIMITS, None, budget),
             times,
             events,
             metrics,
@@ -166,12 +168,11 @@
             }
             Ok(Ok(_)) => KeyCallOutcome::Rejected,
             Ok(Err(ExchangeError::Connect(_))) => KeyCallOutcome::NotSent,
-            Ok(Err(ExchangeError::Broken(_) | ExchangeError::Endless)) | Err(_) => {
-                KeyCallOutcome::Unanswered {
-                    closed: clock::now(),
-                    time: Duration::ZERO,
-                }
-            }
+            Ok(Err(ExchangeError::Broken(_) | ExchangeError::Endless | ExchangeError::NoRoom))
+            | Err(_) => KeyCallOutcome::Unanswered {
+                closed: clock::now(),
+                time: Duration::ZERO,
+            },
         }
     }
 }
@@ -185,8 +186,8 @@
     Some((kept.response.status(), kept.is_first))
 }
 
-fn with_host(request: Request<Vec<u8>>, address: SocketAddr) -> Request<Full<Bytes>> {
-    let mut request = request.map(|body| Full::new(Bytes::from(body)));
+fn with_host(request: Request<Vec<u8>>, address: SocketAddr) -> Request<Payload> {
+    let mut request = request.map(|body| Payload::from(Bytes::from(body)));
     // An address is always a valid header value.
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().insert(HOST, host);
--- a/crates/rack/src/lib.rs
+++ b/crates/rack/src/lib.rs
@@ -5,6 +5,7 @@
 //! See `docs/design/platform.md`.
 
 pub mod accept;
+mod budget;
 pub mod clock;
 pub mod command;
 pub mod control;
--- a/crates/rack/src/metrics/metrics_page.rs
+++ b/crates/rack/src/metrics/metrics_page.rs
@@ -9,6 +9,7 @@
 
 use hdrhistogram::Histogram;
 use quetzalrack_mesh::traffic::RefusalReason;
+use quetzalrack_mesh::traffic::budget::Kind;
 
 use crate::process::UsageSample;
 
@@ -105,6 +106,22 @@
         );
     }
 
+    /// Counts something that the budget had no room for.
+    pub fn no_room(&self, kind: Kind) {
+        self.add("budget_refused_total", &label("kind", kind.name()));
+    }
+
+    /// Counts a holder that was evicted.
+    pub fn evicted(&self, kind: Kind) {
+        self.add("budget_evicted_total", &label("kind", kind.name()));
+    }
+
+    /// Sets how many bytes of a kind are held.
+    pub fn set_held(&self, kind: Kind, bytes: u64) {
+        let label = label("kind", kind.name());
+        self.set(&format!("held_bytes{label}"), bytes);
+    }
+
     /// Sets the number of connections opened to the backend server.
     pub fn set_opened(&self, opened: u64) {
         self.set("server_connections_opened_total", opened);
--- a/crates/rack/src/traffic/egress/egress_node.rs
+++ b/crates/rack/src/traffic/egress/egress_node.rs
@@ -27,6 +27,7 @@
 use super::admission_queue::AdmissionQueue;
 use super::server_client::ServerClient;
 use super::trials::poison_refusal;
+use crate::budget::ProcessBudget;
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::shared::Board;
@@ -74,6 +75,7 @@
         metrics: Arc<Metrics>,
         host: &HostSettings,
         suspects: Rc<Suspects>,
+        budget: &Rc<ProcessBudget>,
     ) -> Rc<Self> {
         let egress = Rc::new(Self {
             board,
@@ -82,7 +84,7 @@
             service: host.service.clone(),
             zone: host.zone.clone(),
             bounds: host.bounds,
-            client: ServerClient::new(),
+            client: ServerClient::new(budget),
             queue: Rc::default(),
             key_counter: RefCell::default(),
             slowdown_percent: Cell::new(100),
--- a/crates/rack/src/traffic/egress/server_client.rs
+++ b/crates/rack/src/traffic/egress/server_client.rs
@@ -7,14 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_ENCODING;
-use http_body_util::Full;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::RequestKind;
 use quetzalrack_mesh::model::ServerId;
@@ -24,7 +22,9 @@
 use quetzalrack_platform::request::set_server_headers;
 
 use super::tracked_limiter::TrackedLimiter;
+use crate::budget::ProcessBudget;
 use crate::clock;
+use crate::traffic::body::Payload;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::LostReason;
 use crate::traffic::outcome::Outcome;
@@ -91,10 +91,10 @@
 }
 
 impl ServerClient {
-    pub(super) fn new() -> Self {
+    pub(super) fn new(budget: &Rc<ProcessBudget>) -> Self {
         Self {
             // The server is on the same host.
-            pool: Pool::new(POOL_LIMITS, None),
+            pool: Pool::new(POOL_LIMITS, None, Rc::clone(budget)),
             distrusted_until: Cell::default(),
             refused_at: Cell::default(),
             broken_at: Cell::default(),
@@ -152,7 +152,7 @@
             false => POOL_LIMITS.idle_timeout,
         };
         let idle = idle.min(self.reusable_time.get());
-        let keep = |response: &Response<Bytes>| {
+        let keep = |response: &Response<Payload>| {
             let headers = ResponseHeaders::read(response.status(), response.headers());
             headers.id == job.id && !headers.closes
         };
@@ -202,6 +202,9 @@
                 self.distrust();
                 (Outcome::Lost(LostReason::Broken), Feedback::default())
             }
+            Ok(Err(ExchangeError::NoRoom)) => {
+                (Outcome::Lost(LostReason::NoRoom), Feedback::default())
+            }
             Err(_) if !limiter.is_write_allowed() => (
                 Outcome::NotRun(RefusalReason::Expired, RETRY_AFTER_REFUSAL),
                 Feedback::default(),
@@ -214,7 +217,7 @@
         &self,
         address: SocketAddr,
         job: &Job,
-        response: Response<Bytes>,
+        response: Response<Payload>,
     ) -> (Outcome, Feedback) {
         let headers = ResponseHeaders::read(response.status(), response.headers());
         // A misdirected request may have reached another server at the same address.
@@ -276,8 +279,8 @@
     }
 }
 
-fn build_request(job: &Job, server: &ServerId, timeout: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(job.body.clone()));
+fn build_request(job: &Job, server: &ServerId, timeout: Duration) -> Request<Payload> {
+    let mut request = Request::new(job.body.clone());
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = job.headers.clone();
--- a/crates/rack/src/traffic/hop/hop_client.rs
+++ b/crates/rack/src/traffic/hop/hop_client.rs
@@ -9,7 +9,6 @@
 use http::Request;
 use http::Response;
 use http::Uri;
-use http_body_util::Full;
 use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_core::traffic::poison::SuspectNews;
 use quetzalrack_mesh::model::ServerNotice;
@@ -19,7 +18,9 @@
 use super::SUSPECTS_PATH;
 use super::hop_request;
 use super::hop_response;
+use crate::budget::ProcessBudget;
 use crate::clock;
+use crate::traffic::body::Payload;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::LostReason;
@@ -61,9 +62,9 @@
 }
 
 impl HopClient {
-    pub(in crate::traffic) fn new(pacer: Option<Rc<LinkPacer>>) -> Self {
+    pub(in crate::traffic) fn new(pacer: Option<Rc<LinkPacer>>, budget: Rc<ProcessBudget>) -> Self {
         Self {
-            pool: Pool::new(POOL_LIMITS, pacer),
+            pool: Pool::new(POOL_LIMITS, pacer, budget),
         }
     }
 
@@ -85,7 +86,7 @@
                 return;
             }
         };
-        let mut request = Request::new(Full::new(body.into()));
+        let mut request = Request::new(Payload::from(Bytes::from(body)));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(INTENT_PATH);
         let exchange = self
@@ -135,7 +136,7 @@
         method: Method,
         body: Bytes,
     ) -> Option<Bytes> {
-        let mut request = Request::new(Full::new(body));
+        let mut request = Request::new(Payload::from(body));
         *request.method_mut() = method;
         *request.uri_mut() = Uri::from_static(SUSPECTS_PATH);
         let exchange = self
@@ -145,7 +146,8 @@
             .await
             .ok()?
             .ok()?;
-        response.status().is_success().then(|| response.into_body())
+        let is_success = response.status().is_success();
+        is_success.then(|| response.into_body().to_bytes())
     }
 
     /// Sends a job to the node at `address`, with what is known of the server there and of servers that ended
@@ -172,6 +174,7 @@
         match tokio::time::timeout(timeout, exchange).await {
             Ok(Ok(response)) => hop_response::decode(response)
                 .unwrap_or_else(|| AttemptReport::new(Outcome::Lost(LostReason::Foreign))),
+            Ok(Err(ExchangeError::NoRoom)) => AttemptReport::new(Outcome::Lost(LostReason::NoRoom)),
             Ok(Err(ExchangeError::Connect(_))) => {
                 AttemptReport::new(Outcome::NotRun(RefusalReason::NodeAway, Duration::ZERO))
             }
--- a/crates/rack/src/traffic/hop/hop_request.rs
+++ b/crates/rack/src/traffic/hop/hop_request.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
 use http::request::Parts;
-use http_body_util::Full;
 use quetzalrack_core::time::Moment;
 use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_mesh::model::RequestKind;
@@ -16,6 +14,7 @@
 use super::JOB_HEADER;
 use super::ends_field;
 use super::notice_field;
+use crate::traffic::body::Payload;
 use crate::traffic::job::Job;
 
 /// Encodes a job as a request to another node. Times are sent as the time left, because the clocks
@@ -25,7 +24,7 @@
     job: &Job,
     told: Option<&ServerNotice>,
     ends: &KnownEnds,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<Payload>> {
     let is_once = job.kind == RequestKind::Once;
     let text = format!(
         "{} {} {} {} {} {} {}{}{}",
@@ -39,7 +38,7 @@
         notice_field::encode(told),
         ends_field::encode(ends),
     );
-    let mut request = Request::new(Full::new(job.body.clone()));
+    let mut request = Request::new(job.body.clone());
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     *request.headers_mut() = job.headers.clone();
@@ -59,7 +58,7 @@
 }
 
 /// Decodes a request of another node; returns `None` if it is malformed.
-pub(super) fn decode(now: Moment, parts: Parts, body: Bytes) -> Option<DecodedRequest> {
+pub(super) fn decode(now: Moment, parts: Parts, body: Payload) -> Option<DecodedRequest> {
     let mut headers = parts.headers;
     let value = headers.remove(JOB_HEADER)?;
     let mut fields = value.to_str().ok()?.split(' ');
--- a/crates/rack/src/traffic/hop/hop_response.rs
+++ b/crates/rack/src/traffic/hop/hop_response.rs
@@ -2,11 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use http_body_util::Full;
 use quetzalrack_mesh::ownership::NodeLoad;
 use quetzalrack_mesh::traffic::RefusalReason;
 
@@ -14,6 +12,7 @@
 use super::age_field;
 use super::ends_field;
 use super::notice_field;
+use crate::traffic::body::Payload;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::Outcome;
 
@@ -24,7 +23,7 @@
 const REASON_PREFIX: &str = "why=";
 
 /// Encodes a report as a response to another node.
-pub(super) fn encode(report: AttemptReport) -> Response<Full<Bytes>> {
+pub(super) fn encode(report: AttemptReport) -> Response<Payload> {
     let load = report.load.unwrap_or_default();
     let (kind, detail, response) = match report.outcome {
         Outcome::Answered(response) => (ANSWERED, String::new(), response),
@@ -54,7 +53,7 @@
         ends_field::encode(&report.ends),
         age_field::encode(report.age),
     );
-    let mut response = response.map(Full::new);
+    let mut response = response;
     // All fields are plain ASCII.
     if let Ok(value) = HeaderValue::from_str(&header) {
         response.headers_mut().insert(OUTCOME_HEADER, value);
@@ -62,14 +61,14 @@
     response
 }
 
-fn empty_response() -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
+fn empty_response() -> Response<Payload> {
+    let mut response = Response::new(Payload::default());
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     response
 }
 
 /// Decodes the response of another node; returns `None` if it is malformed.
-pub(super) fn decode(mut response: Response<Bytes>) -> Option<AttemptReport> {
+pub(super) fn decode(mut response: Response<Payload>) -> Option<AttemptReport> {
     let value = response.headers_mut().remove(OUTCOME_HEADER)?;
     let mut fields = value.to_str().ok()?.split(' ');
     let kind = fields.next()?.to_owned();
--- a/crates/rack/src/traffic/hop/hop_server.rs
+++ b/crates/rack/src/traffic/hop/hop_server.rs
@@ -5,13 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,8 +25,12 @@
 use super::hop_request::DecodedRequest;
 use super::hop_response;
 use crate::accept::accept_all;
+use crate::budget::NoRoom;
+use crate::budget::ProcessBudget;
 use crate::clock;
 use crate::shared::Board;
+use crate::traffic::body::Payload;
+use crate::traffic::body::PayloadStream;
 use crate::traffic::egress::Egress;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::Outcome;
@@ -47,6 +49,7 @@
     pub(in crate::traffic) egress: Rc<Egress>,
     pub(in crate::traffic) board: Arc<Board>,
     pub(in crate::traffic) suspects: Rc<Suspects>,
+    pub(in crate::traffic) budget: Rc<ProcessBudget>,
     pub(in crate::traffic) pacer: Option<Rc<LinkPacer>>,
     /// Counts the connections of other nodes.
     pub(in crate::traffic) connections: ActiveCounter,
@@ -78,28 +81,35 @@
         }
     }
 
-    async fn handle(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn handle(
+        self,
+        request: Request<Incoming>,
+    ) -> Result<Response<PayloadStream>, Infallible> {
+        Ok(self.respond(request).await.map(PayloadStream::from))
+    }
+
+    async fn respond(&self, request: Request<Incoming>) -> Response<Payload> {
         let is_intent = request.uri().path() == INTENT_PATH;
         if is_intent && request.method() == Method::GET {
-            return Ok(self.intent_response());
+            return self.intent_response();
         }
         let is_suspects = request.uri().path() == SUSPECTS_PATH;
         if is_suspects && request.method() == Method::GET {
-            return Ok(self.suspects_response());
+            return self.suspects_response();
         }
         let (parts, body) = request.into_parts();
         let Ok(body) = body.collect().await else {
-            return Ok(bad_request());
+            return bad_request();
         };
         let body = body.to_bytes();
         if is_intent {
-            return Ok(self.receive_intent_source(&body));
+            return self.receive_intent_source(&body);
         }
         if is_suspects {
-            return Ok(self.receive_suspects(&body));
+            return self.receive_suspects(&body);
         }
-        let Some(request) = hop_request::decode(clock::now(), parts, body) else {
-            return Ok(bad_request());
+        let Some(request) = hop_request::decode(clock::now(), parts, Payload::from(body)) else {
+            return bad_request();
         };
         let DecodedRequest { job, told, ends } = request;
         let mut report = match self.egress.takes_peer_job(&job) {
@@ -110,11 +120,11 @@
             true => self.egress.serve_peer(&job, told.as_ref(), &ends).await,
         };
         report.age = self.suspects.age_to_tell();
-        Ok(hop_response::encode(report))
+        hop_response::encode(report)
     }
 
     /// Records the address of a node that has the operators' document.
-    fn receive_intent_source(&self, body: &[u8]) -> Response<Full<Bytes>> {
+    fn receive_intent_source(&self, body: &[u8]) -> Response<Payload> {
         match postcard::from_bytes(body) {
             Ok(source) => {
                 self.board.set_intent_source(source);
@@ -127,7 +137,7 @@
         }
     }
 
-    fn receive_suspects(&self, body: &[u8]) -> Response<Full<Bytes>> {
+    fn receive_suspects(&self, body: &[u8]) -> Response<Payload> {
         match postcard::from_bytes(body) {
             Ok(news) => {
                 self.suspects.receive(&news);
@@ -140,9 +150,9 @@
         }
     }
 
-    fn suspects_response(&self) -> Response<Full<Bytes>> {
+    fn suspects_response(&self) -> Response<Payload> {
         match postcard::to_allocvec(&self.suspects.all()) {
-            Ok(bytes) => Response::new(Full::new(bytes.into())),
+            Ok(bytes) => self.own_response(&bytes),
             Err(error) => {
                 log::error!(event = "suspects_not_written"; "{error}");
                 bad_request()
@@ -150,20 +160,32 @@
         }
     }
 
-    fn intent_response(&self) -> Response<Full<Bytes>> {
+    fn intent_response(&self) -> Response<Payload> {
         let view = self.board.view();
         match postcard::to_allocvec(view.intent.as_ref()) {
-            Ok(bytes) => Response::new(Full::new(bytes.into())),
+            Ok(bytes) => self.own_response(&bytes),
             Err(error) => {
                 log::error!(event = "intent_not_written"; "{error}");
                 bad_request()
             }
         }
     }
+
+    /// Makes a response of this process, which is charged like those of servers: a peer may not read it.
+    fn own_response(&self, bytes: &[u8]) -> Response<Payload> {
+        match Payload::charged(&self.budget, bytes) {
+            Ok(payload) => Response::new(payload),
+            Err(NoRoom) => {
+                let mut response = Response::new(Payload::default());
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                response
+            }
+        }
+    }
 }
 
-fn bad_request() -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn bad_request() -> Response<Payload> {
+    let mut response = Response::new(Payload::default());
     *response.status_mut() = StatusCode::BAD_REQUEST;
     response
 }
--- a/crates/rack/src/traffic/ingress/attempt.rs
+++ b/crates/rack/src/traffic/ingress/attempt.rs
@@ -58,13 +58,13 @@
         let failed = match &report.outcome {
             Outcome::Answered(response) => response.status().is_server_error(),
             Outcome::NotRun(reason, _) => *reason == RefusalReason::ServerRefused,
-            Outcome::Lost(lost) => !lost.is_timeout(),
+            Outcome::Lost(lost) => !lost.is_timeout() && *lost != LostReason::NoRoom,
         };
         balancer.record_ended(now, node, report.load, failed);
         if let Outcome::Answered(response) = &report.outcome {
             balancer.record_response_size(&job.route, response.body().len());
         }
-        if report.load.is_none() {
+        if report.load.is_none() && !report.outcome.is_own_lack() {
             balancer.record_unreachable(now, node);
         }
         report
--- a/crates/rack/src/traffic/ingress/attempts.rs
+++ b/crates/rack/src/traffic/ingress/attempts.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use quetzalrack_core::ids::NodeName;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::traffic::RefusalReason;
 
+use crate::traffic::body::Payload;
 use crate::traffic::outcome::LostReason;
 
 /// When a client may retry if no server of the service is usable.
@@ -25,7 +25,7 @@
     /// Why the last attempt without a response was lost, if one was; it may have run.
     pub(super) lost: Option<LostReason>,
     /// The last response of a server.
-    pub(super) response: Option<Response<Bytes>>,
+    pub(super) response: Option<Response<Payload>>,
     /// The last refusal, and when to retry.
     pub(super) last_refusal: (RefusalReason, Duration),
     /// The owner of the key that a refusing node named, until it is tried.
--- a/crates/rack/src/traffic/ingress/client_port.rs
+++ b/crates/rack/src/traffic/ingress/client_port.rs
@@ -5,12 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::header::CONNECTION;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -24,6 +22,7 @@
 use super::pipeline::Pipeline;
 use crate::accept::accept_until;
 use crate::shared::Board;
+use crate::traffic::body::PayloadStream;
 use crate::traffic::wire::ActiveCounter;
 use crate::traffic::wire::LinkPacer;
 use crate::traffic::wire::PacedStream;
@@ -126,8 +125,8 @@
         self,
         pipeline: Rc<Pipeline>,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
-        let mut response = pipeline.respond(request).await.map(Full::new);
+    ) -> Result<Response<PayloadStream>, Infallible> {
+        let mut response = pipeline.respond(request).await.map(PayloadStream::from);
         if self.board.is_shutting_down() && !pipeline.has_early_requests() {
             response
                 .headers_mut()
--- a/crates/rack/src/traffic/ingress/client_response.rs
+++ b/crates/rack/src/traffic/ingress/client_response.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
@@ -18,6 +17,8 @@
 use http::header::TRANSFER_ENCODING;
 use http::header::UPGRADE;
 
+use crate::traffic::body::Payload;
+
 /// Hop-by-hop headers, which apply to one connection only.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
     CONNECTION,
@@ -33,7 +34,7 @@
 
 /// Makes the response to a request that was certainly not run, with the time until the client may
 /// retry. Clients rely on its status as proof that the request was not run.
-pub(super) fn not_run_response(retry_after: Duration) -> Response<Bytes> {
+pub(super) fn not_run_response(retry_after: Duration) -> Response<Payload> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     // Digits and a decimal point are always a valid header value.
@@ -44,8 +45,8 @@
 }
 
 /// Makes a response without a body.
-pub(super) fn empty_response(status: StatusCode) -> Response<Bytes> {
-    let mut response = Response::new(Bytes::new());
+pub(super) fn empty_response(status: StatusCode) -> Response<Payload> {
+    let mut response = Response::new(Payload::default());
     *response.status_mut() = status;
     response
 }
--- a/crates/rack/src/traffic/ingress/incoming_request.rs
+++ b/crates/rack/src/traffic/ingress/incoming_request.rs
@@ -21,6 +21,7 @@
 use super::client_response::not_run_response;
 use super::client_response::strip_connection_headers;
 use crate::shared::NodeView;
+use crate::traffic::body::Payload;
 use crate::traffic::job::Job;
 
 /// How long a client is assumed to wait if it does not say.
@@ -46,7 +47,7 @@
 
 impl Rejection {
     /// Returns the response to the client.
-    pub(super) fn response(self) -> Response<Bytes> {
+    pub(super) fn response(self) -> Response<Payload> {
         match self {
             Self::NoConfig => not_run_response(RETRY_AFTER_NO_CONFIG),
             Self::NoRoute => empty_response(StatusCode::NOT_FOUND),
@@ -76,7 +77,7 @@
 
 /// Reads the whole body, up to the configured size. If the client disconnects, no response is
 /// needed.
-pub(super) async fn read_body<B>(mut body: B, config: &RoutingConfig) -> Result<Bytes, Rejection>
+pub(super) async fn read_body<B>(mut body: B, config: &RoutingConfig) -> Result<Payload, Rejection>
 where
     B: Body<Data = Bytes> + Unpin,
 {
@@ -91,14 +92,14 @@
             read.extend_from_slice(&data);
         }
     }
-    Ok(read.freeze())
+    Ok(Payload::from(read.freeze()))
 }
 
 /// Makes a job of a request whose body was read.
 pub(super) fn build(
     arrived: Moment,
     parts: Parts,
-    body: Bytes,
+    body: Payload,
     route: Arc<Route>,
     service: ServiceName,
     caller: ServiceName,
--- a/crates/rack/src/traffic/ingress/ingress_node.rs
+++ b/crates/rack/src/traffic/ingress/ingress_node.rs
@@ -37,6 +37,7 @@
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::shared::Board;
+use crate::traffic::body::Payload;
 use crate::traffic::egress::Egress;
 use crate::traffic::egress::poison_refusal;
 use crate::traffic::hop::HopClient;
@@ -101,7 +102,7 @@
     }
 
     /// Serves one request of a client.
-    pub(in crate::traffic) async fn serve<B>(&self, parts: Parts, body: B) -> Response<Bytes>
+    pub(in crate::traffic) async fn serve<B>(&self, parts: Parts, body: B) -> Response<Payload>
     where
         B: Body<Data = Bytes> + Unpin,
     {
@@ -192,7 +193,7 @@
         operation(budget, clock::now())
     }
 
-    async fn dispatch(&self, incoming: &IncomingRequest) -> Response<Bytes> {
+    async fn dispatch(&self, incoming: &IncomingRequest) -> Response<Payload> {
         let job = &incoming.job;
         let mut attempts = Attempts::new();
         loop {
--- a/crates/rack/src/traffic/ingress/pipeline.rs
+++ b/crates/rack/src/traffic/ingress/pipeline.rs
@@ -18,6 +18,7 @@
 
 use super::Ingress;
 use crate::clock;
+use crate::traffic::body::Payload;
 use crate::traffic::wire::RequestScanner;
 use crate::traffic::wire::ScannedHead;
 
@@ -52,7 +53,7 @@
 /// A request that was started early; dropping it cancels it, also at its server.
 struct EarlyRequest {
     parts: Parts,
-    response: JoinHandle<Response<Bytes>>,
+    response: JoinHandle<Response<Payload>>,
 }
 
 impl Drop for EarlyRequest {
@@ -138,7 +139,7 @@
     }
 
     /// Responds to the next request that the HTTP library has read.
-    pub(super) async fn respond(&self, request: Request<Incoming>) -> Response<Bytes> {
+    pub(super) async fn respond(&self, request: Request<Incoming>) -> Response<Payload> {
         let number = self.received.get();
         self.received.set(number + 1);
         self.first_received.notify_one();
--- a/crates/rack/src/traffic/ingress/retrying.rs
+++ b/crates/rack/src/traffic/ingress/retrying.rs
@@ -1,6 +1,5 @@
 //! Decides after each attempt whether to retry, and makes the final response.
 
-use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
 use quetzalrack_core::ids::NodeName;
@@ -16,6 +15,7 @@
 use super::incoming_request::IncomingRequest;
 use super::ingress_node::MIN_ATTEMPT_TIME;
 use crate::clock;
+use crate::traffic::body::Payload;
 use crate::traffic::job::Job;
 use crate::traffic::outcome::AttemptReport;
 use crate::traffic::outcome::Outcome;
@@ -179,7 +179,7 @@
         &self,
         incoming: &IncomingRequest,
         attempts: Attempts,
-    ) -> Response<Bytes> {
+    ) -> Response<Payload> {
         if let Some(response) = attempts.response {
             if !response.status().is_success() {
                 self.log_unserved(
--- a/crates/rack/src/traffic/ingress/shutdown.rs
+++ b/crates/rack/src/traffic/ingress/shutdown.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::Route;
@@ -12,6 +11,7 @@
 use super::client_response::not_run_response;
 use super::incoming_request::IncomingRequest;
 use crate::clock;
+use crate::traffic::body::Payload;
 
 impl Ingress {
     /// Returns the moments of the shutdown if there is one.
@@ -28,7 +28,7 @@
     }
 
     /// Refuses a request whose body is not whole when the process is about to end.
-    pub(super) fn refuse_unread(&self, route: &Route, arrived: Moment) -> Response<Bytes> {
+    pub(super) fn refuse_unread(&self, route: &Route, arrived: Moment) -> Response<Payload> {
         let now = clock::now();
         let retry_after = self.shutdown_times().map(|times| times.retry_after(now));
         let response = not_run_response(retry_after.unwrap_or_default());
--- a/crates/rack/src/traffic/job.rs
+++ b/crates/rack/src/traffic/job.rs
@@ -1,6 +1,5 @@
 //! A request that is sent to a backend server.
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -12,6 +11,8 @@
 use quetzalrack_core::traffic::poison::ContentDigest;
 use quetzalrack_mesh::model::RequestKind;
 
+use super::body::Payload;
+
 /// A request, read to its end, together with the settings of its route.
 #[derive(Clone, Debug)]
 pub(super) struct Job {
@@ -19,7 +20,7 @@
     pub(super) uri: Uri,
     /// The headers as the client sent them, without the hop-by-hop headers.
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: Payload,
     /// The id that the client sent for this attempt.
     pub(super) id: Option<HeaderValue>,
     /// The digest of what the request asks for.
@@ -49,7 +50,7 @@
         uri: &Uri,
         headers: &HeaderMap,
         key: Option<u16>,
-        body: &Bytes,
+        body: &Payload,
     ) -> ContentDigest {
         let host = headers.get(HOST).map(HeaderValue::as_bytes);
         let host = host.unwrap_or_default().to_ascii_lowercase();
@@ -58,14 +59,9 @@
             let [high, low] = key.to_be_bytes();
             [1, high, low]
         });
-        let parts = [
-            method.as_str().as_bytes(),
-            &host,
-            path.as_bytes(),
-            &key,
-            body,
-        ];
-        ContentDigest::of(parts)
+        let parts = [method.as_str().as_bytes(), &host, path.as_bytes(), &key];
+        let blocks = body.blocks().iter().map(AsRef::as_ref);
+        ContentDigest::with_blocks(parts, body.len(), blocks)
     }
 
     /// Returns the attempt's id for the log; "none" if the client sent none.
--- a/crates/rack/src/traffic/mod.rs
+++ b/crates/rack/src/traffic/mod.rs
@@ -1,6 +1,7 @@
 //! Carries requests from clients to the node that serves them, and from there to its backend
 //! server.
 
+pub(crate) mod body;
 mod egress;
 mod hop;
 mod ingress;
--- a/crates/rack/src/traffic/outcome.rs
+++ b/crates/rack/src/traffic/outcome.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use quetzalrack_core::traffic::poison::KnownEnds;
 use quetzalrack_mesh::model::ServerNotice;
@@ -11,6 +10,8 @@
 use quetzalrack_mesh::traffic::OwnerHint;
 use quetzalrack_mesh::traffic::RefusalReason;
 
+use super::body::Payload;
+
 /// Why a request that was sent to a backend server has no valid response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LostReason {
@@ -20,13 +21,15 @@
     Foreign,
     /// No response was received before the deadline.
     TimedOut,
+    /// The process could not hold the response.
+    NoRoom,
 }
 
 /// The outcome of one attempt at one node.
 #[derive(Clone, Debug)]
 pub(super) enum Outcome {
     /// The backend server responded, with any status.
-    Answered(Response<Bytes>),
+    Answered(Response<Payload>),
     /// The request was certainly not run; it may be retried after the given time.
     NotRun(RefusalReason, Duration),
     /// The request may have run.
@@ -48,6 +51,13 @@
     pub(super) age: Option<Duration>,
 }
 
+impl Outcome {
+    /// Returns whether the process that reports it had no room, which says nothing of the node that was tried.
+    pub(super) fn is_own_lack(&self) -> bool {
+        matches!(self, Self::Lost(LostReason::NoRoom))
+    }
+}
+
 impl AttemptReport {
     /// Makes a report without load or owner.
     pub(super) fn new(outcome: Outcome) -> Self {
@@ -68,6 +78,7 @@
             Self::Broken => "broken",
             Self::Foreign => "foreign",
             Self::TimedOut => "timed_out",
+            Self::NoRoom => "no_room",
         }
     }
 }
@@ -82,7 +93,7 @@
     type Err = ();
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let reasons = [Self::Broken, Self::Foreign, Self::TimedOut];
+        let reasons = [Self::Broken, Self::Foreign, Self::TimedOut, Self::NoRoom];
         reasons
             .into_iter()
             .find(|reason| reason.name() == text)
--- a/crates/rack/src/traffic/traffic_node.rs
+++ b/crates/rack/src/traffic/traffic_node.rs
@@ -8,6 +8,7 @@
 
 use quetzalrack_core::time::Moment;
 use quetzalrack_mesh::model::HostSettings;
+use quetzalrack_mesh::traffic::budget::BudgetPlan;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
@@ -23,6 +24,7 @@
 use super::wire::ActiveCounter;
 use super::wire::LinkPacer;
 use super::wire::listen;
+use crate::budget::ProcessBudget;
 use crate::clock;
 use crate::metrics::Metrics;
 use crate::metrics::serve_metrics;
@@ -87,7 +89,9 @@
             }
         }
         let pacer = host.link.map(LinkPacer::spawn);
-        let hops = Rc::new(HopClient::new(pacer.clone()));
+        let plan = BudgetPlan::traffic(host.limits);
+        let budget = ProcessBudget::new(plan, Arc::clone(&self.metrics));
+        let hops = Rc::new(HopClient::new(pacer.clone(), Rc::clone(&budget)));
         let suspects = Rc::new(Suspects::new(
             host.node.clone(),
             Arc::clone(&self.board),
@@ -105,6 +109,7 @@
             Arc::clone(&self.metrics),
             host,
             Rc::clone(&suspects),
+            &budget,
         );
         let ingress = Ingress::new(
             host.clone(),
@@ -139,6 +144,7 @@
             egress: Rc::clone(&egress),
             board: Arc::clone(&self.board),
             suspects: Rc::clone(&suspects),
+            budget: Rc::clone(&budget),
             pacer,
             connections: shutdown.peer_connections.clone(),
             closing: peers_closing,
@@ -147,6 +153,7 @@
         let watch = UsageWatch {
             limits: host.limits,
             metrics: Arc::clone(&self.metrics),
+            budget: Rc::clone(&budget),
             ingress,
             egress: Rc::clone(&egress),
             clients: shutdown.client_connections.clone(),
--- a/crates/rack/src/traffic/usage_watch.rs
+++ b/crates/rack/src/traffic/usage_watch.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use quetzalrack_mesh::model::ProcessLimits;
+use quetzalrack_mesh::traffic::budget::Kind;
 
 use super::egress::Egress;
 use super::ingress::Ingress;
 use super::wire::ActiveCounter;
+use crate::budget::ProcessBudget;
 use crate::metrics::Metrics;
 use crate::process::MemoryAlarm;
 use crate::process::ProcessUsage;
@@ -24,6 +26,7 @@
 pub(super) struct UsageWatch {
     pub(super) limits: ProcessLimits,
     pub(super) metrics: Arc<Metrics>,
+    pub(super) budget: Rc<ProcessBudget>,
     pub(super) ingress: Rc<Ingress>,
     pub(super) egress: Rc<Egress>,
     pub(super) clients: ActiveCounter,
@@ -59,12 +62,18 @@
             peers: self.peers.count(),
         };
         self.metrics.set_usage(&sample);
+        for kind in Kind::ALL {
+            self.metrics.set_held(kind, self.budget.bytes(kind));
+        }
         if let Some(percent) = level {
             log::warn!(
                 event = "memory_high", percent = percent, used_mb = memory.megabytes(),
                 limit_mb = alarm.limit().megabytes(), clients = sample.clients, nodes = sample.peers,
                 requests = self.ingress.running_count(), jobs = self.egress.running_count(),
-                descriptors = ProcessUsage::descriptors().unwrap_or_default(); ""
+                descriptors = ProcessUsage::descriptors().unwrap_or_default(),
+                client_bytes = self.budget.bytes(Kind::Client), peer_bytes = self.budget.bytes(Kind::Peer),
+                request_bytes = self.budget.bytes(Kind::Request),
+                response_bytes = self.budget.bytes(Kind::Response); ""
             );
         }
     }
--- a/crates/rack/src/traffic/wire/connection.rs
+++ b/crates/rack/src/traffic/wire/connection.rs
@@ -2,25 +2,32 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
-use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use quetzalrack_core::time::Moment;
+use quetzalrack_mesh::traffic::budget::Kind;
 use tokio::task::AbortHandle;
 
 use super::CallTag;
 use super::ExchangeError;
 use super::response_meter::ResponseMeter;
+use crate::budget::ProcessBudget;
+use crate::traffic::body::Payload;
+use crate::traffic::body::PayloadBuilder;
+use crate::traffic::body::PayloadStream;
 
 /// One connection; dropping it closes it, and cancels its request at the peer.
 #[derive(Debug)]
 pub(super) struct Connection {
     pub(super) opened_at: Moment,
-    pub(super) sender: SendRequest<Full<Bytes>>,
+    pub(super) sender: SendRequest<PayloadStream>,
     pub(super) meter: Rc<ResponseMeter>,
+    /// What its responses are charged to.
+    pub(super) budget: Rc<ProcessBudget>,
     pub(super) task: AbortHandle,
     /// Whether it has carried a request, so that further responses to that may still come.
     pub(super) is_used: bool,
@@ -30,9 +37,9 @@
 
 /// The result of sending a request on one connection.
 pub(super) enum SendOutcome {
-    Answered(Response<Bytes>),
+    Answered(Response<Payload>),
     /// The connection had been closed; nothing was written.
-    Unwritten(Request<Full<Bytes>>),
+    Unwritten(Request<Payload>),
 }
 
 impl Connection {
@@ -49,7 +56,7 @@
 
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
     ) -> Result<SendOutcome, ExchangeError> {
         self.is_used = true;
         self.meter.start();
@@ -62,30 +69,45 @@
         }
     }
 
-    async fn exchange(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<SendOutcome, ExchangeError> {
-        let response = match self.sender.try_send_request(request).await {
+    async fn exchange(&mut self, request: Request<Payload>) -> Result<SendOutcome, ExchangeError> {
+        let (head, body) = request.into_parts();
+        let stream = Request::from_parts(head, PayloadStream::from(body.clone()));
+        let response = match self.sender.try_send_request(stream).await {
             Ok(response) => response,
             Err(mut error) => match error.take_message() {
-                Some(unsent) => return Ok(SendOutcome::Unwritten(unsent)),
+                Some(unsent) => return Ok(SendOutcome::Unwritten(unsent.map(|_| body))),
                 None => return Err(error.into_error().into()),
             },
         };
-        let (head, mut body) = response.into_parts();
-        let mut parts = Vec::new();
-        while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame?.into_data() {
-                self.meter.record_body(data.len());
-                parts.push(data);
-            }
+        let (head, body) = response.into_parts();
+        let body = self.read_body(body).await?;
+        Ok(SendOutcome::Answered(Response::from_parts(head, body)))
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Payload, ExchangeError> {
+        let mut body = body;
+        if body.is_end_stream() {
+            return Ok(Payload::default());
         }
-        let body = match parts.len() {
-            1 => parts.pop().unwrap_or_default(),
-            _ => parts.concat().into(),
+        let expected = body.size_hint().exact();
+        let expected = expected.and_then(|bytes| usize::try_from(bytes).ok());
+        let holder = self.budget.open(Kind::Response)?;
+        let mut builder = PayloadBuilder::new(&holder, expected);
+        let reading = async {
+            while let Some(frame) = body.frame().await {
+                if let Ok(data) = frame?.into_data() {
+                    self.meter.record_body(data.len());
+                    builder.push(&data)?;
+                }
+            }
+            Ok::<_, ExchangeError>(())
         };
-        Ok(SendOutcome::Answered(Response::from_parts(head, body)))
+        tokio::select! {
+            biased;
+            () = holder.evicted() => return Err(ExchangeError::NoRoom),
+            outcome = reading => outcome?,
+        }
+        Ok(builder.finish())
     }
 }
 
--- a/crates/rack/src/traffic/wire/late_end_stream.rs
+++ b/crates/rack/src/traffic/wire/late_end_stream.rs
@@ -1,6 +1,7 @@
 //! Connections whose end is noticed after what came before it was handled.
 
 use std::io;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -63,6 +64,18 @@
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/crates/rack/src/traffic/wire/paced_stream.rs
+++ b/crates/rack/src/traffic/wire/paced_stream.rs
@@ -1,6 +1,7 @@
 //! Connections whose long messages share the host's link.
 
 use std::io;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Context;
@@ -66,6 +67,37 @@
     }
 }
 
+impl<S> PacedStream<S> {
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(count)) = written {
+            self.message_bytes += count;
+            if let Some(pacer) = &self.pacer {
+                pacer.record_written(*count);
+            }
+        }
+        // The next write requests its share again, under the same id. If there is no next write, or
+        // the peer accepts no more for now, other messages proceed.
+        if let (Some(message_id), Some(pacer)) = (self.message_id, &self.pacer) {
+            pacer.remove(message_id);
+        }
+    }
+}
+
+/// Returns the first `allowed` bytes of some slices.
+fn allowed_slices<'a>(slices: &'a [IoSlice<'a>], allowed: usize) -> Vec<IoSlice<'a>> {
+    let mut left = allowed;
+    let mut chunk = Vec::with_capacity(slices.len());
+    for slice in slices {
+        let count = slice.len().min(left);
+        left -= count;
+        chunk.push(IoSlice::new(slice.get(..count).unwrap_or(slice)));
+        if left == 0 {
+            break;
+        }
+    }
+    chunk
+}
+
 impl<S> Drop for PacedStream<S> {
     fn drop(&mut self) {
         self.leave_queue();
@@ -104,20 +136,29 @@
         };
         let chunk = buf.get(..buf.len().min(allowed)).unwrap_or(buf);
         let written = Pin::new(&mut self.inner).poll_write(cx, chunk);
-        if let Poll::Ready(Ok(count)) = &written {
-            self.message_bytes += count;
-            if let Some(pacer) = &self.pacer {
-                pacer.record_written(*count);
-            }
-        }
-        // The next write requests its share again, under the same id. If there is no next write, or
-        // the peer accepts no more for now, other messages proceed.
-        if let (Some(message_id), Some(pacer)) = (self.message_id, &self.pacer) {
-            pacer.remove(message_id);
-        }
+        self.record_write(&written);
         written
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let Some(allowed) = self.write_allowance(cx) else {
+            return Poll::Pending;
+        };
+        let chunk = allowed_slices(bufs, allowed);
+        let written = Pin::new(&mut self.inner).poll_write_vectored(cx, &chunk);
+        self.record_write(&written);
+        written
+    }
+
+    /// Parts of a message are written from where they lie; copied into one piece, a body would be held twice.
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/crates/rack/src/traffic/wire/pool.rs
+++ b/crates/rack/src/traffic/wire/pool.rs
@@ -6,10 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use http::Response;
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use quetzalrack_core::time::Moment;
@@ -27,7 +25,10 @@
 use super::open_connections::OpenConnections;
 use super::response_meter::MAX_BUFFER_BYTES;
 use super::response_meter::ResponseMeter;
+use crate::budget::NoRoom;
+use crate::budget::ProcessBudget;
 use crate::clock;
+use crate::traffic::body::Payload;
 
 /// How often the pool is checked for an idle connection while all are in use.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -56,6 +57,15 @@
     /// More bytes came than belong to any response; the request may have run.
     #[error("the response has no end")]
     Endless,
+    /// The process can't hold the response now; the request may have run.
+    #[error("no room for the response")]
+    NoRoom,
+}
+
+impl From<NoRoom> for ExchangeError {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
+    }
 }
 
 /// Keeps idle connections by address.
@@ -63,6 +73,7 @@
 pub(crate) struct Pool {
     limits: PoolLimits,
     pacer: Option<Rc<LinkPacer>>,
+    budget: Rc<ProcessBudget>,
     idle: RefCell<HashMap<SocketAddr, Vec<IdleEntry>>>,
     opened_count: RefCell<u64>,
     open: OpenConnections,
@@ -75,11 +86,17 @@
 }
 
 impl Pool {
-    /// Makes an empty pool; `pacer` paces the writes of its connections, if given.
-    pub(crate) fn new(limits: PoolLimits, pacer: Option<Rc<LinkPacer>>) -> Rc<Self> {
+    /// Makes an empty pool; `pacer` paces the writes of its connections, if given, and responses are charged to
+    /// `budget`.
+    pub(crate) fn new(
+        limits: PoolLimits,
+        pacer: Option<Rc<LinkPacer>>,
+        budget: Rc<ProcessBudget>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             limits,
             pacer,
+            budget,
             idle: RefCell::default(),
             opened_count: RefCell::default(),
             open: OpenConnections::default(),
@@ -90,13 +107,13 @@
     pub(crate) async fn exchange<K>(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<Payload>,
         reuse: Reuse,
         limiter: &dyn WriteLimiter,
         is_reusable: K,
-    ) -> Result<Response<Bytes>, ExchangeError>
+    ) -> Result<Response<Payload>, ExchangeError>
     where
-        K: FnOnce(&Response<Bytes>) -> bool,
+        K: FnOnce(&Response<Payload>) -> bool,
     {
         let mut request = request;
         loop {
@@ -131,7 +148,7 @@
         build_request: M,
     ) -> Result<Option<KeptResponse>, ExchangeError>
     where
-        M: Fn() -> Option<Request<Full<Bytes>>>,
+        M: Fn() -> Option<Request<Payload>>,
     {
         loop {
             let Some(mut connection) = self.wait_opened_before(address, before).await else {
@@ -155,8 +172,8 @@
     pub(crate) async fn exchange_alone(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+        request: Request<Payload>,
+    ) -> Result<Response<Payload>, ExchangeError> {
         let mut request = request;
         loop {
             let mut connection = self.open(address).await?;
@@ -302,6 +319,7 @@
             opened_at,
             sender,
             meter,
+            budget: Rc::clone(&self.budget),
             task: task.abort_handle(),
             is_used: false,
             carried: Vec::new(),
