--- a/crates/rack/tests/crowds/crowd/faulty_server.rs
+++ b/crates/rack/tests/crowds/crowd/faulty_server.rs
@@ -96,6 +96,11 @@
     }
 }
 
+/// Answers all calls at an address like this for as long as it is polled.
+pub async fn answer_all(listen: SocketAddr, answer: Answer) {
+    serve(listen, answer, Arc::default()).await;
+}
+
 async fn serve(listen: SocketAddr, answer: Answer, record: Arc<Record>) {
     let listener = loop {
         match TcpListener::bind(listen).await {
--- a/crates/rack/tests/crowds/crowd/mod.rs
+++ b/crates/rack/tests/crowds/crowd/mod.rs
@@ -9,6 +9,7 @@
 pub use clients::Script;
 pub use faulty_server::Answer;
 pub use faulty_server::FaultyServer;
+pub use faulty_server::answer_all;
 pub use requests::Framing;
 pub use requests::block;
 pub use requests::body;
--- a/crates/rack/tests/crowds/servers.rs
+++ b/crates/rack/tests/crowds/servers.rs
@@ -1,5 +1,6 @@
 //! Servers whose answers are many and large.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use crate::crowd::SERVER;
 use crate::crowd::Script;
 use crate::crowd::Site;
+use crate::crowd::answer_all;
 use crate::crowd::block;
 use crate::crowd::body;
 use crate::crowd::chunk;
@@ -39,6 +41,11 @@
 /// Guard against a crowd that is never answered.
 const ANSWER_GUARD: Duration = Duration::from_secs(120);
 
+/// Port of a store beside a host.
+const STORE_PORT: u16 = 8_310;
+/// How long a process calls a store whose answers have no end.
+const STORE_TIME: Duration = Duration::from_secs(10);
+
 /// Returns unsafe requests in chunks on connections that stay open.
 fn uploads(host: usize, clients: usize) -> impl Iterator<Item = Script> {
     (0..clients).map(move |number| {
@@ -238,3 +245,25 @@
         site.check(header).await;
     }
 }
+
+/// Guards against a process that ends because it keeps an answer of the store that has no end.
+#[tokio::test(flavor = "multi_thread")]
+async fn endless_store_answers() {
+    let mut site = Site::start(small_machine()).await;
+    let store = SocketAddr::new(site.clients(ENTRY).ip(), STORE_PORT);
+    let answer = Answer {
+        headers: "Transfer-Encoding: chunked\r\n".to_owned(),
+        piece: chunk(&block()).into(),
+        pieces: ENDLESS_PIECES,
+        end: Bytes::new(),
+    };
+    let serving = tokio::spawn(answer_all(store, answer));
+    site.world.kill_node(ENTRY);
+    let table = "[platform.platform]\naddress = ";
+    site.world
+        .change_settings(ENTRY, table, &format!("{table}\"{store}\"\nearlier = "));
+    site.world.start_node(ENTRY);
+    tokio::time::sleep(STORE_TIME).await;
+    serving.abort();
+    site.check("after the store's answers").await;
+}
