mesh: a range of keys whose ends are reversed isn't decoded

What callers would see: the process beside their server ends, with all requests that it has passed on.

Cause: KeyRange was decoded from datagrams without the check of its constructor. A reversed one among a server's keys reaches KeyCounter::loads, where BTreeMap::range panics at it, on the traffic thread outside any task.

--- a/crates/mesh/src/model/key_range.rs
+++ b/crates/mesh/src/model/key_range.rs
@@ -9,6 +9,7 @@
 /// A range of keys, including both ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
+#[serde(try_from = "KeyRangeFields")]
 pub struct KeyRange {
     /// The first key.
     pub first: u16,
@@ -16,6 +17,21 @@
     pub last: u16,
 }
 
+/// The fields as another process has sent them.
+#[derive(Deserialize)]
+struct KeyRangeFields {
+    first: u16,
+    last: u16,
+}
+
+impl TryFrom<KeyRangeFields> for KeyRange {
+    type Error = ParseKeyRangeError;
+
+    fn try_from(fields: KeyRangeFields) -> Result<Self, Self::Error> {
+        Self::new(fields.first, fields.last).ok_or(ParseKeyRangeError)
+    }
+}
+
 /// The error for a string that is not a range of keys.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
